--- /dev/null
+++ b/cmake/waxwing.cmake
@@ -0,0 +1,36 @@
+# Warnings and sanitizers for the project's own code; generated code is compiled without them.
+add_library(waxwing_options INTERFACE)
+target_compile_options(waxwing_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow
+    -Wnon-virtual-dtor -Wold-style-cast -Werror)
+if(WAXWING_SANITIZE)
+    add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all
+        -fno-omit-frame-pointer)
+    add_link_options(-fsanitize=address,undefined)
+endif()
+
+function(waxwing_add_binary MAIN)
+    get_filename_component(NAME ${MAIN} NAME_WE)
+    string(REGEX REPLACE "_main$" "" NAME ${NAME})
+    string(REPLACE "_" "-" NAME ${NAME})
+    add_executable(${NAME} ${MAIN})
+    target_link_libraries(${NAME} PRIVATE waxwing)
+    set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+function(waxwing_add_test_folder FOLDER)
+    file(GLOB TEST_SOURCES CONFIGURE_DEPENDS ${FOLDER}/*.cpp)
+    if(NOT TEST_SOURCES)
+        return()
+    endif()
+    get_filename_component(NAME ${FOLDER} NAME)
+    add_executable(test_${NAME} ${TEST_SOURCES} ${CMAKE_SOURCE_DIR}/tests/test_main.cpp)
+    target_include_directories(test_${NAME} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
+    target_compile_definitions(test_${NAME} PRIVATE
+        WAXWING_TESTS_DIR="${CMAKE_SOURCE_DIR}/tests" WAXWING_BIN_DIR="${CMAKE_BINARY_DIR}/bin")
+    target_link_libraries(test_${NAME} PRIVATE waxwing PkgConfig::CPPUNIT)
+    if(RAPIDCHECK_LIBRARY)
+        target_link_libraries(test_${NAME} PRIVATE ${RAPIDCHECK_LIBRARY})
+    endif()
+    add_test(NAME ${NAME} COMMAND test_${NAME})
+    set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/src/backends/backend_pool.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "core/clock.h"
+#include "core/random.h"
+#include "core/strong_id.h"
+#include "query/search_types.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace waxwing {
+
+/// Policy of `backend_pool`.
+struct backend_pool_settings
+{
+    /// Factor by which a limit falls on an overload refusal.
+    double limitDecrease = 0.7;
+    /// Failures in a row after which a server is ejected.
+    std::uint32_t failuresToEject = 3;
+    /// Time of the first ejection; doubled with each further one.
+    std::chrono::milliseconds firstEjection{1000};
+    /// Longest ejection.
+    std::chrono::milliseconds longestEjection{30000};
+    /// Largest share of a zone's servers that is ejected at a time.
+    double largestEjectedShare = 0.5;
+
+    bool operator==(const backend_pool_settings &) const = default;
+};
+
+/// What is known about each backend server, from the results of requests before anything else.
+class backend_pool
+{
+public:
+    backend_pool(backend_pool_settings settings, zone_id localZone);
+    backend_pool(backend_pool &&) noexcept;
+    backend_pool &operator=(backend_pool &&) noexcept;
+    ~backend_pool();
+
+    /// Takes over a configuration; knowledge about servers that remain is kept.
+    void configure(const configuration &document, time_point now);
+    /// Marks a server as leaving, from the platform's list, a peer or the server itself.
+    void setLeaving(const server_id &server, bool leaving);
+    /// Whether the server gets no new work: marked, or its departure time has come.
+    bool isLeaving(const server_id &server, wall_time wall) const;
+    /// Takes over what a server reports about itself.
+    void onHealth(const server_id &server, const leaf_health &health, time_point now);
+
+    /// Chooses a server among `replicas` that may get work now and is not in `excluded`. With
+    /// `needed` only servers count that hold the snapshot of the shard, or may hold it.
+    std::optional<server_id> choose(const service_id &service, const shard_id &shard,
+                                    const std::vector<server_id> &replicas,
+                                    const std::vector<server_id> &excluded,
+                                    std::optional<snapshot> needed, time_point now, wall_time wall,
+                                    random_engine &random) const;
+    /// A request was handed to the server.
+    void onSent(const server_id &server, time_point now);
+    /// A request to the server was answered.
+    void onAnswer(const server_id &server, duration latency, time_point now);
+    /// A request to the server failed.
+    void onFailure(const server_id &server, const leaf_failure &failure, time_point now);
+    /// A request to the server was cancelled or abandoned.
+    void onAbandoned(const server_id &server, time_point now);
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/distribution/distribution.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "events/event.h"
+#include "events/reduce_context.h"
+#include "membership/membership.h"
+
+#include <memory>
+#include <optional>
+
+namespace waxwing {
+
+/// Periods of `distribution`.
+struct distribution_settings
+{
+    /// Members of each zone that watch the platform.
+    std::uint32_t watchersPerZone = 2;
+    /// Longest wait of one watch call.
+    std::chrono::milliseconds watchTime{30000};
+    /// Pause after a failed call; doubled with each further failure, with jitter.
+    std::chrono::milliseconds retryPause{500};
+    /// Longest pause.
+    std::chrono::milliseconds longestPause{10000};
+    /// Time between two reads of the platform's host list by a watcher.
+    std::chrono::milliseconds hostListPeriod{5000};
+
+    bool operator==(const distribution_settings &) const = default;
+};
+
+/// Adopts newer configurations from peers and the platform, never an older one.
+class distribution
+{
+public:
+    explicit distribution(distribution_settings settings);
+    distribution(distribution &&) noexcept;
+    distribution &operator=(distribution &&) noexcept;
+    ~distribution();
+
+    /// Asks seeds and the platform for the configuration.
+    void start(reduce_context &context, const std::vector<endpoint> &seedPeers);
+    /// A peer announced the configuration that it has in force.
+    void onAnnouncement(reduce_context &context, const member &peer, std::uint64_t digest);
+    /// Handles the end of a fetch from a peer. Returns false if the attempt is not its own.
+    bool onPeerState(reduce_context &context, const peer_state_fetched &fetched);
+    /// Handles the end of a platform call. Returns false if the attempt is not its own.
+    bool onPlatform(reduce_context &context, const platform_finished &finished);
+    /// Handles what is due. `members` decides whether this host watches.
+    void onTick(reduce_context &context, const membership &members);
+    /// When `onTick` is next due.
+    std::optional<time_point> nextDeadline() const;
+
+    /// The configuration in force; its document is null if there is none yet.
+    const configuration_copy &current() const;
+    /// Backend servers that the platform's list says are leaving.
+    const std::vector<server_id> &leavingServers() const;
+    /// Gossip addresses of entry hosts on the platform's list.
+    const std::vector<endpoint> &listedHosts() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/entry/entry_settings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "backends/backend_pool.h"
+#include "command/command_reducer.h"
+#include "distribution/distribution.h"
+#include "membership/membership.h"
+#include "routing/holder_assignment.h"
+
+namespace waxwing {
+
+/// Settings of every part of an entry host's state.
+struct entry_settings
+{
+    /// Availability zone of this host.
+    zone_id zone;
+    /// Routing.
+    routing_settings routing;
+    /// Membership.
+    membership_settings members;
+    /// Configuration distribution.
+    distribution_settings configuration;
+    /// Backend servers.
+    backend_pool_settings backends;
+    /// Commands.
+    command_settings commands;
+    /// Time between the start of a graceful stop and the refusal of new requests.
+    std::chrono::milliseconds stopNotice{3000};
+    /// Longest time that a graceful stop waits for requests in progress.
+    std::chrono::milliseconds stopLimit{30000};
+
+    bool operator==(const entry_settings &) const = default;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "http/message.h"
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+struct event_base;
+
+namespace waxwing::http {
+
+/// Limits of a `server`.
+struct server_settings
+{
+    /// Address to listen on; port 0 lets the system choose.
+    endpoint listen{"127.0.0.1", 0};
+    /// Largest accepted body, in bytes; a larger one is answered with 413.
+    std::size_t maxBodyBytes = 64 * 1024;
+    /// Largest accepted header block, in bytes.
+    std::size_t maxHeaderBytes = 16 * 1024;
+    /// Time after which an idle or slow connection is closed. evhttp has one timeout for both.
+    std::chrono::seconds idleTimeout{60};
+
+    bool operator==(const server_settings &) const = default;
+};
+
+class server_core;
+
+/// Answers one request, once. May outlive the handler's call; a request whose responder is
+/// destroyed unanswered gets status 500.
+class responder
+{
+public:
+    explicit responder(std::shared_ptr<struct pending_request> pending);
+    responder(responder &&) noexcept;
+    responder &operator=(responder &&) noexcept;
+    ~responder();
+
+    /// Sends the response; later calls do nothing.
+    void respond(const response &answer);
+    /// Sets what is called once if the peer goes away before the response.
+    void onDisconnect(std::function<void()> callback);
+
+private:
+    std::shared_ptr<struct pending_request> m_pending;
+};
+
+/// HTTP/1.1 server on a libevent loop.
+class server
+{
+public:
+    /// Called on the loop for each whole request.
+    using handler = std::function<void(request, responder)>;
+
+    /// Listens at once. Fails with Unavailable if the address cannot be bound.
+    static absl::StatusOr<std::unique_ptr<server>>
+    create(event_base *base, const server_settings &settings, handler onRequest);
+    ~server();
+
+    /// The address that is listened on, with the port that the system chose.
+    endpoint localEndpoint() const;
+    /// Stops accepting connections and closes each connection with its next response.
+    void beginDrain();
+    /// Requests received and not yet answered.
+    std::size_t requestsInProgress() const;
+    /// Open connections, idle ones included.
+    std::size_t connections() const;
+
+private:
+    explicit server(std::unique_ptr<server_core> core);
+    std::unique_ptr<server_core> m_core;
+};
+
+} // namespace waxwing::http
