--- /dev/null
+++ b/src/routing/zone_assignment.cpp
@@ -0,0 +1,96 @@
+#include "routing/zone_assignment.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+zone_assignment::zone_assignment(const std::vector<service> &services,
+                                 const std::vector<std::size_t> &wanted,
+                                 const std::vector<host_id> &hosts)
+    : m_hostCount(hosts.size()), m_load(hosts.size()), m_taken(services.size() * hosts.size())
+{
+    for (const std::size_t count : wanted) {
+        m_room.push_back(std::min(count, hosts.size()));
+        m_missing += m_room.back();
+    }
+    const std::vector<ranked_pair> pairs = rankPairs(services, hosts);
+    for (std::size_t level = 1; m_missing > 0; ++level)
+        fillLevel(pairs, level);
+    balance();
+}
+
+std::vector<zone_assignment::ranked_pair>
+zone_assignment::rankPairs(const std::vector<service> &services,
+                           const std::vector<host_id> &hosts) const
+{
+    std::vector<ranked_pair> pairs;
+    pairs.reserve(services.size() * hosts.size());
+    for (std::size_t i = 0; i < services.size(); ++i) {
+        const std::uint64_t seed = stableHash(services[i].id.value);
+        for (std::size_t j = 0; j < hosts.size(); ++j)
+            pairs.push_back({stableHash(hosts[j].value, seed), {i, j}});
+    }
+    // The initial order breaks ties, so that equal ranks give the same result everywhere.
+    std::stable_sort(
+        pairs.begin(), pairs.end(),
+        [](const ranked_pair &left, const ranked_pair &right) { return left.rank > right.rank; });
+    return pairs;
+}
+
+void zone_assignment::fillLevel(const std::vector<ranked_pair> &pairs, std::size_t level)
+{
+    for (const ranked_pair &each : pairs) {
+        const auto [service, host] = each.at;
+        if (m_room[service] > 0 && m_load[host] < level && !isTaken(service, host)) {
+            set(service, host, true);
+            --m_room[service];
+            --m_missing;
+        }
+    }
+}
+
+void zone_assignment::balance()
+{
+    // A level may end with a host that already holds every service with room left. Each move
+    // lowers the sum of the squared loads, so the loop ends.
+    while (m_hostCount > 0) {
+        const auto [least, most] = std::minmax_element(m_load.begin(), m_load.end());
+        if (*most - *least <= 1)
+            return;
+        const auto to = static_cast<std::size_t>(least - m_load.begin());
+        const auto from = static_cast<std::size_t>(most - m_load.begin());
+        std::size_t service = 0;
+        while (!isTaken(service, from) || isTaken(service, to))
+            ++service;
+        set(service, from, false);
+        set(service, to, true);
+    }
+}
+
+std::vector<place> zone_assignment::places() const
+{
+    std::vector<place> result;
+    for (std::size_t index = 0; index < m_taken.size(); ++index) {
+        if (m_taken[index])
+            result.push_back({index / m_hostCount, index % m_hostCount});
+    }
+    return result;
+}
+
+bool zone_assignment::isTaken(std::size_t service, std::size_t host) const
+{
+    return m_taken[service * m_hostCount + host];
+}
+
+void zone_assignment::set(std::size_t service, std::size_t host, bool taken)
+{
+    m_taken[service * m_hostCount + host] = taken;
+    if (taken)
+        ++m_load[host];
+    else
+        --m_load[host];
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/routing/zone_assignment.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "core/strong_id.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace waxwing {
+
+/// A service held by a host, as positions in the lists given to `zone_assignment`.
+struct place
+{
+    /// Position of the service.
+    std::size_t service = 0;
+    /// Position of the host.
+    std::size_t host = 0;
+};
+
+/// Balanced assignment of the services to the hosts of one zone.
+///
+/// All pairs of service and host are taken in the order of their rendezvous rank, first until
+/// each host holds one service, then two, and so on. Taking the pairs of all services in one
+/// order rather than service by service halves the number of places that change with a member.
+class zone_assignment
+{
+public:
+    /// Assigns `wanted[i]` of `hosts` to `services[i]`, or all hosts where there are fewer.
+    zone_assignment(const std::vector<service> &services, const std::vector<std::size_t> &wanted,
+                    const std::vector<host_id> &hosts);
+
+    /// Places taken, by service and then host.
+    std::vector<place> places() const;
+
+private:
+    struct ranked_pair
+    {
+        std::uint64_t rank;
+        place at;
+    };
+
+    std::vector<ranked_pair> rankPairs(const std::vector<service> &services,
+                                       const std::vector<host_id> &hosts) const;
+    void fillLevel(const std::vector<ranked_pair> &pairs, std::size_t level);
+    void balance();
+    bool isTaken(std::size_t service, std::size_t host) const;
+    void set(std::size_t service, std::size_t host, bool taken);
+
+    std::size_t m_hostCount = 0;
+    std::size_t m_missing = 0;
+    std::vector<std::size_t> m_room;
+    std::vector<std::size_t> m_load;
+    std::vector<bool> m_taken;
+};
+
+} // namespace waxwing
