Add failure detection and fact dissemination between entry hosts

Change: membership implements SWIM over effects: round-robin probes, indirect probes, suspicion with refutation, updates and facts within the datagram size. News that should not wait (facts, leaving hosts, a new revision) go to three random members at once. Seeds and dead members are contacted every 10 s, and sooner once a dead member is back, so that partitioned zones merge. A late tick counts as a pause of this host: it then accuses nobody. Facts of an origin use sequences from the wall clock, because hosts store nothing.

Not measured: 740 hosts.

--- /dev/null
+++ b/src/membership/member_table.cpp
@@ -0,0 +1,150 @@
+#include "membership/member_table.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+member_table::member_table(member_table_settings settings) : m_settings(settings) { }
+
+void member_table::setSelf(const member &self)
+{
+    m_self = self.host;
+    const auto [known, added] = m_members.try_emplace(self.host, self);
+    if (added) {
+        m_activeCount += isActive(self.state) ? 1 : 0;
+        ++m_activeVersion;
+    } else {
+        replace(known->second, self);
+    }
+}
+
+const member &member_table::self() const
+{
+    static const member none;
+    const member *known = find(m_self);
+    return known != nullptr ? *known : none;
+}
+
+member_table::change member_table::merge(const member &record, time_point now,
+                                         duration suspicionTime)
+{
+    auto known = m_members.find(record.host);
+    change result = change::Updated;
+    if (known == m_members.end()) {
+        // The death of an unknown member is not taken over: passing it on would keep it in
+        // memory somewhere for ever.
+        if (record.state == member_state::Dead || m_members.size() >= m_settings.maxMembers)
+            return change::None;
+        known = m_members.emplace(record.host, record).first;
+        m_activeCount += isActive(record.state) ? 1 : 0;
+        m_activeVersion += isActive(record.state) ? 1 : 0;
+        result = change::Joined;
+    } else {
+        member &current = known->second;
+        if (std::pair(record.incarnation, record.state)
+            <= std::pair(current.incarnation, current.state)) {
+            current.configurationRevision =
+                std::max(current.configurationRevision, record.configurationRevision);
+            return change::None;
+        }
+        if (current.state == member_state::Dead && record.state != member_state::Dead)
+            result = change::Revived;
+        replace(current, record);
+    }
+
+    std::optional<time_point> due;
+    if (record.state == member_state::Suspect)
+        due = now + suspicionTime;
+    else if (record.state == member_state::Dead)
+        due = now + m_settings.deadMemory;
+    setDue(record.host, due);
+    return result;
+}
+
+std::vector<host_id> member_table::expire(time_point now)
+{
+    std::vector<host_id> died;
+    while (!m_dueOrder.empty() && m_dueOrder.begin()->first <= now) {
+        const host_id host = m_dueOrder.begin()->second;
+        member &known = m_members.at(host);
+        if (known.state == member_state::Suspect) {
+            member dead = known;
+            dead.state = member_state::Dead;
+            replace(known, dead);
+            setDue(host, now + m_settings.deadMemory);
+            died.push_back(host);
+        } else {
+            setDue(host, std::nullopt);
+            m_members.erase(host);
+        }
+    }
+    return died;
+}
+
+void member_table::delaySuspicions(duration pause)
+{
+    const auto due = m_due;
+    for (const auto &[host, at] : due) {
+        if (m_members.at(host).state == member_state::Suspect)
+            setDue(host, at + pause);
+    }
+}
+
+std::optional<time_point> member_table::nextDeadline() const
+{
+    if (m_dueOrder.empty())
+        return std::nullopt;
+    return m_dueOrder.begin()->first;
+}
+
+const member *member_table::find(const host_id &host) const
+{
+    const auto found = m_members.find(host);
+    return found != m_members.end() ? &found->second : nullptr;
+}
+
+std::vector<member> member_table::active() const
+{
+    std::vector<member> result;
+    result.reserve(m_activeCount);
+    for (const auto &[host, each] : m_members) {
+        if (isActive(each.state))
+            result.push_back(each);
+    }
+    return result;
+}
+
+bool member_table::isActive(member_state state)
+{
+    return state == member_state::Alive || state == member_state::Suspect;
+}
+
+void member_table::replace(member &known, const member &record)
+{
+    const bool wasActive = isActive(known.state);
+    const bool becomesActive = isActive(record.state);
+    const bool moved =
+        known.zone != record.zone || known.gossip != record.gossip || known.peer != record.peer;
+    if (wasActive && !becomesActive)
+        --m_activeCount;
+    if (!wasActive && becomesActive)
+        ++m_activeCount;
+    if (wasActive != becomesActive || (becomesActive && moved))
+        ++m_activeVersion;
+    known = record;
+}
+
+void member_table::setDue(const host_id &host, std::optional<time_point> due)
+{
+    const auto known = m_due.find(host);
+    if (known != m_due.end()) {
+        m_dueOrder.erase({known->second, host});
+        m_due.erase(known);
+    }
+    if (due) {
+        m_due.emplace(host, *due);
+        m_dueOrder.emplace(*due, host);
+    }
+}
+
+} // namespace waxwing
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -26,6 +26,23 @@
     std::chrono::minutes deadMemory{10};
     /// Largest datagram, in bytes.
     std::size_t datagramBytes = 1200;
+    /// Time between two contacts with a seed, and between two probes of a dead member, so that
+    /// partitioned zones find each other again. A host that knows no other contacts seeds in
+    /// every probe period.
+    std::chrono::milliseconds reconnectPeriod{10000};
+    /// Members that a host contacts at once with news that should not wait for its next probe.
+    std::uint32_t pushFanOut = 3;
+    /// Least time between two such contacts; news that arrive together are sent together.
+    std::chrono::milliseconds pushPause{100};
+    /// Times that an update or a fact is sent, per binary logarithm of the member count.
+    std::uint32_t transmissionFactor = 3;
+    /// Members known to be alive that fill up a datagram, so that hosts learn of members whose
+    /// updates they missed.
+    std::uint32_t fillerMembers = 3;
+    /// Members kept, dead ones included; bounds the memory against malformed input.
+    std::size_t maxMembers = 5000;
+    /// Facts kept.
+    std::size_t maxFacts = 1000;
 
     bool operator==(const membership_settings &) const = default;
 };
--- /dev/null
+++ b/src/membership/membership_state.cpp
@@ -0,0 +1,309 @@
+#include "membership/membership_state.h"
+
+#include "membership/gossip_size.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace waxwing {
+namespace {
+
+/// Relayed probes at a time; bounds the memory against floods.
+constexpr std::size_t maxRelays = 256;
+/// Addresses kept from the platform's list.
+constexpr std::size_t maxListedSeeds = 2000;
+/// Share of the free part of a datagram that updates may use; the rest is kept for facts, so that
+/// a wave of membership changes cannot hold them back.
+constexpr double updateShare = 0.6;
+
+fact_table_settings factSettings(const membership_settings &settings)
+{
+    fact_table_settings result;
+    result.maxFacts = settings.maxFacts;
+    return result;
+}
+
+} // namespace
+
+membership::state::state(const membership_settings &chosen)
+    : settings(chosen), members({chosen.maxMembers, chosen.deadMemory}),
+      facts(factSettings(chosen)), seeds(maxListedSeeds)
+{ }
+
+void membership::state::apply(reduce_context &context, const member &record)
+{
+    if (record.host == members.self().host) {
+        refute(record);
+        return;
+    }
+    const member *known = members.find(record.host);
+    if (known != nullptr && known->state == member_state::Dead
+        && record.incarnation == known->incarnation && record.state < member_state::Leaving)
+        doubtfulDead.insert(record.host);
+
+    const member_table::change change = members.merge(record, context.now, suspicionTime());
+    if (change == member_table::change::None)
+        return;
+    updates.add(record.host);
+    if (record.state == member_state::Leaving)
+        requestPush(context.now);
+    if (change == member_table::change::Joined)
+        schedule.add(record.host, context.random);
+    if (change == member_table::change::Revived) {
+        doubtfulDead.erase(record.host);
+        schedule.add(record.host, context.random);
+        // A partition has probably ended: the others behind it are looked for sooner, and the
+        // facts that they missed are sent again.
+        nextDeadProbe = std::min(nextDeadProbe, context.now + settings.probePeriod);
+        facts.resendAll(context.now);
+    }
+}
+
+void membership::state::refute(const member &record)
+{
+    const member &self = members.self();
+    if (std::pair(record.incarnation, record.state) <= std::pair(self.incarnation, self.state))
+        return;
+    member refuted = self;
+    refuted.incarnation = record.incarnation + 1;
+    setSelf(refuted);
+}
+
+void membership::state::setSelf(const member &changed)
+{
+    members.setSelf(changed);
+    updates.add(changed.host);
+}
+
+void membership::state::applyFacts(time_point now, const std::vector<fact> &heard)
+{
+    for (const fact &each : heard) {
+        // Sequences grow across incarnations, so that facts of an earlier one are superseded.
+        if (each.origin == members.self().host)
+            lastSequence = std::max(lastSequence, each.sequence);
+        if (!facts.accept(each, now))
+            continue;
+        newFacts.push_back(each);
+        requestPush(now);
+    }
+}
+
+void membership::state::requestPush(time_point now)
+{
+    if (!pushAt)
+        pushAt = std::max(now, lastPush + settings.pushPause);
+}
+
+void membership::state::send(reduce_context &context, const endpoint &address, const host_id &to,
+                             gossip_message message)
+{
+    message.sender = members.self();
+    message.configurationDigest = digest;
+    const std::size_t used = gossipBytes(message);
+    std::size_t left = settings.datagramBytes > used ? settings.datagramBytes - used : 0;
+    auto updateBytes = static_cast<std::size_t>(static_cast<double>(left) * updateShare);
+    const std::size_t reserved = left - updateBytes;
+    const auto addRecord = [&](const member &record) {
+        const std::size_t size = gossipBytes(record);
+        if (size > updateBytes)
+            return false;
+        updateBytes -= size;
+        message.updates.push_back(record);
+        return true;
+    };
+
+    // A host that is taken for dead or suspect has to hear it, so that it can refute.
+    const member *receiver = members.find(to);
+    if (receiver != nullptr && receiver->state != member_state::Alive)
+        addRecord(*receiver);
+    updates.take(transmissions(), [&](const host_id &host) {
+        const member *record = members.find(host);
+        return record == nullptr || host == members.self().host || addRecord(*record);
+    });
+    left = updateBytes + reserved;
+    facts.take(context.now, transmissions(), left, message.facts);
+    updateBytes = left;
+    for (const member &filler : chooseActive(settings.fillerMembers, to, context.random))
+        addRecord(filler);
+    context.emit(send_datagram{address, std::move(message)});
+}
+
+std::uint64_t membership::state::sendProbe(reduce_context &context, const endpoint &address,
+                                           const host_id &to)
+{
+    gossip_message probe;
+    probe.kind = gossip_message::message_kind::Probe;
+    probe.probe = ++lastProbe;
+    send(context, address, to, std::move(probe));
+    return lastProbe;
+}
+
+void membership::state::respond(reduce_context &context, const endpoint &from,
+                                const gossip_message &message)
+{
+    gossip_message answer;
+    answer.kind = gossip_message::message_kind::Acknowledge;
+    answer.probe = message.probe;
+    if (message.kind == gossip_message::message_kind::Probe) {
+        send(context, from, message.sender.host, std::move(answer));
+        return;
+    }
+    if (message.kind == gossip_message::message_kind::IndirectProbe) {
+        const member *target = members.find(message.target);
+        if (target == nullptr || relays.size() >= maxRelays)
+            return;
+        const std::uint64_t number = sendProbe(context, target->gossip, target->host);
+        relays[number] = {from, message.probe, context.now + settings.probePeriod};
+        return;
+    }
+    if (pending && pending->number == message.probe)
+        pending.reset();
+    const auto relay = relays.find(message.probe);
+    if (relay != relays.end()) {
+        answer.probe = relay->second.number;
+        send(context, relay->second.requester, {}, std::move(answer));
+        relays.erase(relay);
+    }
+}
+
+void membership::state::beginPeriod(reduce_context &context)
+{
+    judgeProbe(context);
+    nextPeriod = context.now + settings.probePeriod;
+    facts.purge(context.now);
+    for (auto each = relays.begin(); each != relays.end();)
+        each = each->second.expires <= context.now ? relays.erase(each) : std::next(each);
+
+    if (const auto target = schedule.next(members, context.random)) {
+        const std::uint64_t number = sendProbe(context, members.find(*target)->gossip, *target);
+        pending = pending_probe{number, *target, context.now + settings.probeTimeout};
+    }
+    reconnect(context);
+}
+
+void membership::state::judgeProbe(reduce_context &context)
+{
+    if (!pending)
+        return;
+    const member *target = members.find(pending->target);
+    pending.reset();
+    if (target == nullptr || target->state == member_state::Dead
+        || target->state == member_state::Suspect)
+        return;
+    member judged = *target;
+    // A leaving host that stops answering has ended as it announced.
+    judged.state =
+        target->state == member_state::Leaving ? member_state::Dead : member_state::Suspect;
+    apply(context, judged);
+}
+
+void membership::state::askOthers(reduce_context &context)
+{
+    pending->askOthersAt.reset();
+    const pending_probe asked = *pending;
+    for (const member &helper :
+         chooseActive(settings.indirectProbes, asked.target, context.random)) {
+        gossip_message request;
+        request.kind = gossip_message::message_kind::IndirectProbe;
+        request.probe = asked.number;
+        request.target = asked.target;
+        send(context, helper.gossip, helper.host, std::move(request));
+    }
+}
+
+void membership::state::reconnect(reduce_context &context)
+{
+    const bool alone = chooseActive(1, {}, context.random).empty();
+    if (alone || context.now >= nextSeedContact) {
+        std::set<endpoint> known;
+        for (const member &each : members.active())
+            known.insert(each.gossip);
+        known.insert(members.self().gossip);
+        for (const endpoint &seed : seeds.choose(alone ? 3 : 1, known, context.random))
+            sendProbe(context, seed, {});
+        nextSeedContact = context.now + settings.reconnectPeriod;
+    }
+    if (context.now >= nextDeadProbe) {
+        std::vector<host_id> dead;
+        for (const auto &[host, each] : members.all()) {
+            if (each.state == member_state::Dead)
+                dead.push_back(host);
+        }
+        if (!dead.empty())
+            doubtfulDead.insert(dead[context.random(static_cast<std::uint32_t>(dead.size()))]);
+        nextDeadProbe = context.now + settings.reconnectPeriod;
+    }
+    // One at a time, so that the end of a large partition causes no burst of datagrams.
+    if (!doubtfulDead.empty()) {
+        const auto chosen = std::next(
+            doubtfulDead.begin(), context.random(static_cast<std::uint32_t>(doubtfulDead.size())));
+        const member *target = members.find(*chosen);
+        if (target != nullptr && target->state == member_state::Dead)
+            sendProbe(context, target->gossip, target->host);
+        doubtfulDead.erase(chosen);
+    }
+}
+
+void membership::state::push(reduce_context &context)
+{
+    pushAt.reset();
+    lastPush = context.now;
+    for (const member &each : chooseActive(settings.pushFanOut, {}, context.random))
+        sendProbe(context, each.gossip, each.host);
+}
+
+void membership::state::onPause(time_point now, duration pause)
+{
+    // Acknowledgements and refutations may be waiting in the socket.
+    pending.reset();
+    members.delaySuspicions(pause + settings.probePeriod);
+    nextPeriod = now;
+}
+
+std::vector<member> membership::state::chooseActive(std::size_t count, const host_id &excluded,
+                                                    random_engine &random) const
+{
+    std::vector<const member *> candidates;
+    for (const auto &[host, each] : members.all()) {
+        if (member_table::isActive(each.state) && host != excluded && host != members.self().host)
+            candidates.push_back(&each);
+    }
+    count = std::min(count, candidates.size());
+    std::vector<member> chosen;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto left = static_cast<std::uint32_t>(candidates.size() - i);
+        std::swap(candidates[i], candidates[i + random(left)]);
+        chosen.push_back(*candidates[i]);
+    }
+    return chosen;
+}
+
+duration membership::state::suspicionTime() const
+{
+    const double count = std::max<double>(1, static_cast<double>(members.activeCount()));
+    return settings.suspicionTime
+        + std::chrono::duration_cast<duration>(settings.probePeriod * std::log(count));
+}
+
+std::uint32_t membership::state::transmissions() const
+{
+    return settings.transmissionFactor
+        * static_cast<std::uint32_t>(std::bit_width(members.activeCount() + 1));
+}
+
+std::optional<time_point> membership::state::nextDeadline() const
+{
+    if (!isStarted)
+        return std::nullopt;
+    time_point next = nextPeriod;
+    if (pending && pending->askOthersAt)
+        next = std::min(next, *pending->askOthersAt);
+    if (pushAt)
+        next = std::min(next, *pushAt);
+    if (const auto due = members.nextDeadline())
+        next = std::min(next, *due);
+    return next;
+}
+
+} // namespace waxwing
