Add the distribution of configurations to entry hosts

Change: revision_guard adopts only higher revisions. It reports a platform that shows an older revision in three reads in a row, and a second document of the same revision, once each. peer_fetches asks peers that announced a higher revision, one fetch at a time per peer and two altogether, with back-off and jitter. platform_watch runs on the two members of each zone with the lowest rendezvous rank, and on a host that starts and got no configuration from peers. After a watch that saw no change it reads, because a restored platform may hold a lower version than the watch waits for.

--- /dev/null
+++ b/src/distribution/back_off.cpp
@@ -0,0 +1,23 @@
+#include "distribution/back_off.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+void back_off::fail(time_point now, std::chrono::milliseconds first,
+                    std::chrono::milliseconds longest, random_engine &random)
+{
+    constexpr std::uint32_t maxDoublings = 16;
+    const auto doublings = std::min(m_failures++, maxDoublings);
+    const auto pause = std::min(longest, first * (1U << doublings));
+    const auto half = static_cast<std::uint32_t>(pause.count() / 2);
+    m_until = now + std::chrono::milliseconds(half + random(half + 1));
+}
+
+void back_off::succeed()
+{
+    m_failures = 0;
+    m_until = time_point::min();
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/distribution/platform_watch.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "distribution/back_off.h"
+#include "distribution/distribution.h"
+#include "distribution/host_list.h"
+#include "distribution/revision_guard.h"
+#include "events/event.h"
+#include "events/reduce_context.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace waxwing {
+
+/// Calls of this host to the platform: reads and watches of the configuration, and the host list.
+class platform_watch
+{
+public:
+    explicit platform_watch(const distribution_settings &settings);
+
+    /// Starts the calls that are due. `watching` says whether this host watches, `starting`
+    /// whether it needs a configuration.
+    void start(reduce_context &context, bool watching, bool starting);
+    /// Handles the end of a call. Returns false if the attempt is not its own.
+    bool finish(reduce_context &context, const platform_finished &finished, revision_guard &guard);
+    /// When `start` is next due.
+    std::optional<time_point> nextDeadline(bool watching, bool starting) const;
+    /// The host list as it was last read.
+    const host_list &hosts() const { return m_hosts; }
+    /// Host lists read so far.
+    std::uint64_t hostListReads() const { return m_hostListReads; }
+
+private:
+    void onConfiguration(reduce_context &context, const platform_finished &finished,
+                         revision_guard &guard);
+    void onHostList(reduce_context &context, const platform_result &result);
+    void pause(reduce_context &context);
+
+    distribution_settings m_settings;
+    std::optional<attempt_id> m_attempt;
+    back_off m_pause;
+    /// Version of the configuration object seen last.
+    std::uint64_t m_version = 0;
+    /// Whether the next call reads rather than watches.
+    bool m_readNext = true;
+    std::optional<attempt_id> m_listAttempt;
+    time_point m_nextList = time_point::min();
+    host_list m_hosts;
+    std::uint64_t m_hostListReads = 0;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/distribution/revision_guard.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "events/reduce_context.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace waxwing {
+
+/// Configuration in force on this host. Only a higher revision replaces it.
+class revision_guard
+{
+public:
+    /// Where a document came from.
+    enum class source { Peer, Platform };
+
+    /// Reports that the platform was restored after `oldReadsToReport` old reads in a row.
+    explicit revision_guard(std::uint32_t oldReadsToReport);
+
+    /// Adopts `offered` if its revision is higher, and reports conflicting and old documents.
+    /// Returns whether it was adopted.
+    bool offer(reduce_context &context, const configuration_copy &offered, source from);
+    /// Reports a document of the own revision with another digest, once for each digest.
+    void checkDigest(reduce_context &context, std::uint64_t revision, std::uint64_t digest,
+                     const std::string &from);
+    /// The configuration in force; its document is null if there is none.
+    const configuration_copy &current() const { return m_current; }
+    /// Revision in force, 0 if there is none.
+    std::uint64_t revision() const;
+    /// Whether the last read of the platform was older than the configuration in force and more
+    /// reads are needed to tell a stale read from a restored platform.
+    bool needsAnotherRead() const;
+
+private:
+    void checkOldRead(reduce_context &context, std::uint64_t platformRevision);
+
+    std::uint32_t m_oldReadsToReport;
+    configuration_copy m_current;
+    std::uint32_t m_oldReads = 0;
+    std::optional<std::pair<std::uint64_t, std::uint64_t>> m_reportedDigest;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/distribution/watcher_choice.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/strong_id.h"
+#include "membership/member.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace waxwing {
+
+/// Whether `self` is among the `perZone` members of its zone with the lowest rendezvous rank. A
+/// host that is not in `active` watches nothing.
+bool isWatcher(const std::vector<member> &active, const host_id &self, std::uint32_t perZone);
+
+} // namespace waxwing
