Add the HTTP server and client on evhttp

The server answers every error with a problem document: evhttp writes HTML pages for malformed and oversized input, so the output buffer of each connection replaces them, and a header over the limit is told apart from a body over the limit. evhttp does not read while a request is handled, so a separate event notices a peer that closes. Draining closes idle connections and ends each other one with its next response.

--- /dev/null
+++ b/tests/http/server_test.cpp
@@ -0,0 +1,230 @@
+#include "http/loop_fixture.h"
+
+#include <optional>
+
+namespace waxwing::http {
+
+class server_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(server_test);
+    CPPUNIT_TEST(passesWholeRequest);
+    CPPUNIT_TEST(answersErrorsWithProblems);
+    CPPUNIT_TEST(reportsDisconnectOnce);
+    CPPUNIT_TEST(reportsResetPeer);
+    CPPUNIT_TEST(toleratesResponderThatOutlivesServer);
+    CPPUNIT_TEST(answersUnansweredRequests);
+    CPPUNIT_TEST(servesPipelinedRequestsInOrder);
+    CPPUNIT_TEST(drainsWithoutCuttingRequests);
+    CPPUNIT_TEST(failsOnAddressInUse);
+    CPPUNIT_TEST_SUITE_END();
+
+    test_loop m_loop;
+    std::unique_ptr<server> m_server;
+    std::vector<request> m_requests;
+    std::vector<responder> m_responders;
+
+    void start()
+    {
+        server_settings settings;
+        settings.maxBodyBytes = 1000;
+        settings.maxHeaderBytes = 2000;
+        auto created =
+            server::create(m_loop.base(), settings, [this](request message, responder to) {
+                m_requests.push_back(std::move(message));
+                m_responders.push_back(std::move(to));
+            });
+        CPPUNIT_ASSERT(created.ok());
+        m_server = *std::move(created);
+    }
+
+    std::string exchange(const std::string &text)
+    {
+        raw_connection peer(m_server->localEndpoint());
+        peer.write(text);
+        m_loop.runUntil([&] {
+            peer.poll();
+            return peer.closed;
+        });
+        return peer.received;
+    }
+
+public:
+    void setUp() override { start(); }
+    void tearDown() override
+    {
+        m_responders.clear();
+        m_server.reset();
+    }
+
+    /// Guards against requests that lose a part, such as encoded characters or the body.
+    void passesWholeRequest()
+    {
+        raw_connection peer(m_server->localEndpoint());
+        peer.write("PUT /a%20b/c?q=x%26y+z&n=1 HTTP/1.1\r\nHost: h\r\nX-One: 1\r\n"
+                   "Content-Length: 4\r\n\r\nbody");
+        m_loop.runUntil([&] { return m_requests.size() == 1; });
+        const request &message = m_requests.front();
+        CPPUNIT_ASSERT_EQUAL(std::string("PUT"), message.method);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a b/c"), message.path);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), message.body);
+        CPPUNIT_ASSERT((message.query == header_list{{"q", "x&y z"}, {"n", "1"}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), findHeader(message.headers, "x-one").value_or(""));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->requestsInProgress());
+        m_responders.front().respond(jsonResponse(201, "{}"));
+        m_loop.runUntil([&] {
+            peer.poll();
+            return peer.received.ends_with("{}");
+        });
+        CPPUNIT_ASSERT(peer.received.starts_with("HTTP/1.1 201 Created\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_server->requestsInProgress());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->connections());
+    }
+
+    /// Guards against error pages of evhttp and unbounded input.
+    void answersErrorsWithProblems()
+    {
+        const std::string bigHeader = "X: " + std::string(3000, 'x') + "\r\n";
+        const std::pair<std::string, std::string> cases[] = {
+            {"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'b'), "413"},
+            {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2000, 'b')
+                 + "\r\n0\r\n\r\n",
+             "413"},
+            {"GET / HTTP/1.1\r\n" + bigHeader + "\r\n", "431"},
+            {"GET /" + std::string(3000, 'x') + " HTTP/1.1\r\n\r\n", "431"},
+            {"GET / HTTP/1.1\r\nno colon\r\n\r\n", "400"},
+            {"nonsense\r\n\r\n", "400"},
+            {"HEAD / HTTP/1.1\r\nConnection: close\r\n\r\n", "405"},
+            {"PATCH / HTTP/1.1\r\nConnection: close\r\n\r\n", "405"},
+            {"BREW / HTTP/1.1\r\nConnection: close\r\n\r\n", "501"},
+        };
+        for (const auto &[input, status] : cases) {
+            const std::string answer = exchange(input);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, "HTTP/1.1 " + status, answer.substr(0, 12));
+            CPPUNIT_ASSERT(answer.find("application/problem+json") != std::string::npos);
+            CPPUNIT_ASSERT(answer.find("<HTML>") == std::string::npos);
+        }
+        CPPUNIT_ASSERT(m_requests.empty());
+    }
+
+    /// Guards against searches that go on for a caller that is gone.
+    void reportsDisconnectOnce()
+    {
+        int disconnects = 0;
+        raw_connection peer(m_server->localEndpoint());
+        peer.write("GET / HTTP/1.1\r\n\r\n");
+        m_loop.runUntil([&] { return m_responders.size() == 1; });
+        m_responders.front().onDisconnect([&] { ++disconnects; });
+        peer.close();
+        m_loop.runUntil([&] { return m_server->connections() == 0; });
+        CPPUNIT_ASSERT_EQUAL(1, disconnects);
+        m_responders.front().respond(jsonResponse(200, "{}"));
+        m_server.reset();
+        CPPUNIT_ASSERT_EQUAL(1, disconnects);
+    }
+
+    /// Guards against a peer that is only noticed when it closes in order.
+    void reportsResetPeer()
+    {
+        int disconnects = 0;
+        raw_connection peer(m_server->localEndpoint());
+        peer.write("GET /a HTTP/1.1\r\n\r\n");
+        m_loop.runUntil([&] { return m_responders.size() == 1; });
+        m_responders.front().onDisconnect([&] { ++disconnects; });
+        // Unread data at close makes the kernel send a reset.
+        peer.write("GET /b HTTP/1.1\r\n\r\n");
+        m_responders.front().respond(jsonResponse(200, "{}"));
+        m_loop.runUntil([&] { return m_responders.size() == 2; });
+        m_responders.back().onDisconnect([&] { ++disconnects; });
+        peer.close();
+        m_loop.runUntil([&] { return m_server->connections() == 0; });
+        CPPUNIT_ASSERT_EQUAL(1, disconnects);
+    }
+
+    /// Guards against use of a freed server when it stops with requests in progress.
+    void toleratesResponderThatOutlivesServer()
+    {
+        int disconnects = 0;
+        raw_connection peer(m_server->localEndpoint());
+        peer.write("GET / HTTP/1.1\r\n\r\n");
+        m_loop.runUntil([&] { return m_responders.size() == 1; });
+        m_responders.front().onDisconnect([&] { ++disconnects; });
+        m_server.reset();
+        m_responders.front().respond(jsonResponse(200, "{}"));
+        CPPUNIT_ASSERT_EQUAL(0, disconnects);
+    }
+
+    /// Guards against callers that wait for a request whose responder was lost.
+    void answersUnansweredRequests()
+    {
+        raw_connection peer(m_server->localEndpoint());
+        peer.write("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+        m_loop.runUntil([&] { return m_responders.size() == 1; });
+        m_responders.clear();
+        m_loop.runUntil([&] {
+            peer.poll();
+            return peer.closed;
+        });
+        CPPUNIT_ASSERT(peer.received.starts_with("HTTP/1.1 500"));
+    }
+
+    /// Guards against answers that meet the wrong request of a connection.
+    void servesPipelinedRequestsInOrder()
+    {
+        raw_connection peer(m_server->localEndpoint());
+        peer.write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nConnection: close\r\n\r\n");
+        for (std::size_t i = 0; i < 2; ++i) {
+            m_loop.runUntil([&] { return m_responders.size() == i + 1; });
+            m_responders[i].respond(jsonResponse(200, m_requests[i].path));
+        }
+        m_loop.runUntil([&] {
+            peer.poll();
+            return peer.closed;
+        });
+        CPPUNIT_ASSERT(peer.received.find("/1HTTP/1.1 200") != std::string::npos);
+        CPPUNIT_ASSERT(peer.received.ends_with("/2"));
+    }
+
+    /// Guards against a shutdown that interrupts requests or waits for idle connections.
+    void drainsWithoutCuttingRequests()
+    {
+        const endpoint at = m_server->localEndpoint();
+        raw_connection idle(at);
+        raw_connection busy(at);
+        raw_connection partial(at);
+        busy.write("GET /busy HTTP/1.1\r\n\r\n");
+        partial.write("POST /partial HTTP/1.1\r\nContent-Length: 2\r\n\r\na");
+        m_loop.runUntil([&] { return m_responders.size() == 1 && m_server->connections() == 3; });
+        m_server->beginDrain();
+        partial.write("b");
+        m_loop.runUntil([&] {
+            idle.poll();
+            return idle.closed && m_responders.size() == 2;
+        });
+        for (responder &to : m_responders)
+            to.respond(jsonResponse(200, "{}"));
+        m_loop.runUntil([&] {
+            busy.poll();
+            partial.poll();
+            return busy.closed && partial.closed;
+        });
+        for (const std::string &answer : {busy.received, partial.received}) {
+            CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+            CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_server->connections());
+    }
+
+    /// Guards against a process that starts without its port.
+    void failsOnAddressInUse()
+    {
+        server_settings settings;
+        settings.listen = m_server->localEndpoint();
+        const auto second =
+            server::create(m_loop.base(), settings, [](const request &, const responder &) {});
+        CPPUNIT_ASSERT(absl::IsUnavailable(second.status()));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(server_test);
+
+} // namespace waxwing::http
