--- a/src/backends/backend_pool.h
+++ b/src/backends/backend_pool.h
@@ -26,10 +26,40 @@
     std::chrono::milliseconds longestEjection{30000};
     /// Largest share of a zone's servers that is ejected at a time.
     double largestEjectedShare = 0.5;
+    /// Weight of a new sample in the latency estimate.
+    double latencySmoothing = 0.1;
+    /// Time for which a server counts as cold after it appeared or came back; its limit then grows
+    /// with every good reply.
+    std::chrono::milliseconds rampTime{10000};
+    /// Factor by which a server of another zone must be faster to be preferred.
+    double otherZoneFactor = 1.25;
+    /// Latency that is assumed before the first reply.
+    std::chrono::milliseconds assumedLatency{5};
 
     bool operator==(const backend_pool_settings &) const = default;
 };
 
+/// What a backend server said about leaving, in an answer or a health report.
+struct draining_report
+{
+    /// Backend server.
+    server_id server;
+    /// Whether it says that it is leaving.
+    bool draining = false;
+
+    bool operator==(const draining_report &) const = default;
+};
+
+/// What is known about a replica's hold on a snapshot.
+enum class replica_knowledge {
+    /// The server reported the snapshot.
+    Held,
+    /// The server has not reported anything about the shard yet.
+    Unknown,
+    /// The server reported other snapshots only.
+    NotHeld,
+};
+
 /// What is known about each backend server, from the results of requests before anything else.
 class backend_pool
 {
@@ -64,6 +94,32 @@
     /// A request to the server was cancelled or abandoned.
     void onAbandoned(const server_id &server, time_point now);
 
+    /// Takes over the snapshots that a reply or refusal of the server reported for a shard.
+    void onHeld(const server_id &server, const service_id &service, const shard_id &shard,
+                const std::vector<snapshot> &held);
+    /// The most requests that this host may have in progress on the server, by its connections.
+    void setConnectionLimit(const server_id &server, std::uint32_t connections);
+    /// What is known about the server's hold on the snapshot of the shard.
+    replica_knowledge knowledge(const server_id &server, const service_id &service,
+                                const shard_id &shard, const snapshot &wanted) const;
+    /// Snapshots that the server reported for the shard; empty if it reported none.
+    const std::vector<snapshot> &heldBy(const server_id &server, const service_id &service,
+                                        const shard_id &shard) const;
+    /// Whether the server is part of the configuration and not leaving.
+    bool mayWork(const server_id &server, wall_time wall) const;
+    /// Whether the server is ejected, so that it only gets trial requests.
+    bool isEjected(const server_id &server, time_point now) const;
+    /// Grows whenever the snapshots, departures or ejections that are known change.
+    std::uint64_t knowledgeVersion() const;
+    /// When the next planned departure is due; snapshot choices made before it end with it.
+    std::optional<wall_time> nextDeparture(wall_time wall) const;
+    /// Address of the server, or null if it is not part of the configuration.
+    const endpoint *addressOf(const server_id &server) const;
+    /// Zone of the server, or null if it is not part of the configuration.
+    const zone_id *zoneOf(const server_id &server) const;
+    /// What servers said about leaving since the last call.
+    std::vector<draining_report> takeDrainingReports();
+
 private:
     struct state;
     std::unique_ptr<state> m_state;
--- a/src/entry/entry_reducer.h
+++ b/src/entry/entry_reducer.h
@@ -31,9 +31,11 @@
     /// Members and valid facts, for peers that start and for the status page.
     peer_state peerState(time_point now) const;
 
+    /// Parts of the state; for the reducer only.
+    struct parts;
+
 private:
     friend class entry_reducer;
-    struct parts;
     explicit entry_state(std::unique_ptr<parts> content);
     std::unique_ptr<parts> m_parts;
 };
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "admission/admission_control.h"
 #include "backends/backend_pool.h"
 #include "command/command_reducer.h"
 #include "distribution/distribution.h"
+#include "entry/health_poller.h"
 #include "membership/membership.h"
+#include "quarantine/request_quarantine.h"
+#include "query/query_settings.h"
 #include "routing/holder_assignment.h"
 
 namespace waxwing {
@@ -21,6 +25,14 @@
     distribution_settings configuration;
     /// Backend servers.
     backend_pool_settings backends;
+    /// Searches.
+    query_settings queries;
+    /// Admission of searches.
+    admission_settings admission;
+    /// Requests that crash backend servers.
+    quarantine_settings quarantine;
+    /// Health polls.
+    health_poller_settings health;
     /// Commands.
     command_settings commands;
     /// Time between the start of a graceful stop and the refusal of new requests.
--- /dev/null
+++ b/src/entry/health_poller.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "events/reduce_context.h"
+#include "routing/holder_assignment.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace waxwing {
+
+/// Period of `health_poller`.
+struct health_poller_settings
+{
+    /// Time between two polls of a server.
+    std::chrono::milliseconds period{2000};
+    /// Largest deviation from the period, as a share of it; keeps hosts from polling together.
+    double jitter = 0.2;
+
+    bool operator==(const health_poller_settings &) const = default;
+};
+
+/// Polls the backend servers of the services that this host holds, and limits its connections.
+class health_poller
+{
+public:
+    explicit health_poller(health_poller_settings settings);
+
+    /// Takes over an assignment. Servers that are new are polled soon; those that are no longer
+    /// held get a connection limit of 0. Returns the limits that changed.
+    std::map<server_id, std::uint32_t> assign(reduce_context &context,
+                                              const configuration &document,
+                                              const holder_assignment &holders,
+                                              const host_id &self);
+    /// Sends the polls that are due.
+    void onTick(reduce_context &context);
+    /// When `onTick` is next due.
+    std::optional<time_point> nextDeadline() const;
+
+private:
+    struct target
+    {
+        endpoint address;
+        std::uint32_t connections = 0;
+        time_point nextPoll;
+    };
+
+    duration jittered(reduce_context &context) const;
+    void removeMissing(reduce_context &context, const std::map<server_id, std::uint32_t> &held,
+                       std::map<server_id, std::uint32_t> &changed);
+
+    health_poller_settings m_settings;
+    std::map<server_id, target> m_targets;
+    std::set<std::pair<time_point, server_id>> m_schedule;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/entry/stop_sequence.cpp
@@ -0,0 +1,44 @@
+#include "entry/stop_sequence.h"
+
+namespace waxwing {
+
+stop_sequence::stop_sequence(std::chrono::milliseconds notice, std::chrono::milliseconds limit)
+    : m_notice(notice), m_limit(limit)
+{ }
+
+bool stop_sequence::begin(time_point now)
+{
+    if (isStopping())
+        return false;
+    m_step = step_kind::Notice;
+    m_stepEnd = now + m_notice;
+    return true;
+}
+
+void stop_sequence::advance(reduce_context &context, std::size_t requestsInProgress)
+{
+    if (m_step == step_kind::Notice && context.now >= m_stepEnd) {
+        m_step = step_kind::Finishing;
+        m_stepEnd = context.now + m_limit;
+        context.emit(close_callers{});
+    }
+    if (m_step != step_kind::Finishing)
+        return;
+    if (requestsInProgress != 0 && context.now < m_stepEnd)
+        return;
+    if (requestsInProgress != 0)
+        context.emit(write_log{{log_level::Warning,
+                                "stopping with requests in progress",
+                                {{"requests", std::to_string(requestsInProgress)}}}});
+    m_step = step_kind::Exited;
+    context.emit(exit_process{});
+}
+
+std::optional<time_point> stop_sequence::nextDeadline() const
+{
+    if (m_step == step_kind::Notice || m_step == step_kind::Finishing)
+        return m_stepEnd;
+    return std::nullopt;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/quarantine/request_quarantine.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/strong_id.h"
+#include "membership/member.h"
+#include "quarantine/known_good_cache.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing {
+
+/// Policy of `request_quarantine`.
+struct quarantine_settings
+{
+    /// Crashes after which a request is refused.
+    std::uint32_t crashesToList = 2;
+    /// Time for which a request is refused and a crash is remembered.
+    std::chrono::milliseconds listedFor{300000};
+    /// Time after a crash in which unknown requests of the service wait for their canary shard.
+    std::chrono::milliseconds alertTime{120000};
+    /// Servers lost within this time are taken as lost together.
+    std::chrono::milliseconds burstWindow{1000};
+    /// Suspected requests that are remembered.
+    std::size_t maxSuspects = 10000;
+
+    bool operator==(const quarantine_settings &) const = default;
+};
+
+/// Identity of a request for the quarantine: its service and query, without its page.
+std::uint64_t requestFingerprint(const service_id &service, std::string_view query);
+
+/// Bounds the crashes that one request causes on backend servers.
+class request_quarantine
+{
+public:
+    explicit request_quarantine(quarantine_settings settings);
+
+    /// Time for which the request is still refused; empty if it may run.
+    std::optional<std::chrono::milliseconds> listedFor(std::uint64_t fingerprint,
+                                                       time_point now) const;
+    /// Whether the request was answered by a backend server before.
+    bool isKnownGood(std::uint64_t fingerprint) const;
+    /// Whether the request was in progress on a server that was lost.
+    bool isSuspect(std::uint64_t fingerprint, time_point now) const;
+    /// Whether the service had a crash recently.
+    bool isAlert(const service_id &service, time_point now) const;
+
+    /// A backend server answered the request, so it does not crash servers.
+    void onAnswer(std::uint64_t fingerprint, time_point now);
+    /// The connection to `server` broke with the request in progress, sent at `sent`. Returns
+    /// whether the request is now listed.
+    bool onConnectionLost(const service_id &service, std::uint64_t fingerprint,
+                          const server_id &server, time_point sent, time_point now);
+    /// Takes over a fact of another host.
+    void onFact(const fact &heard, time_point now);
+
+    /// Crashes counted here since the last call, to be published as facts.
+    struct observation
+    {
+        /// Subject of the fact.
+        std::string subject;
+        /// Crashes of the request seen by this host.
+        std::uint64_t crashes = 0;
+        /// Time that the observation is valid.
+        std::chrono::milliseconds validFor{0};
+
+        bool operator==(const observation &) const = default;
+    };
+    std::vector<observation> takeObservations();
+
+private:
+    struct suspect
+    {
+        std::map<host_id, std::uint64_t> crashes;
+        std::uint64_t ownCrashes = 0;
+        time_point lastLoss;
+        time_point expires;
+        std::set<server_id> servers;
+
+        std::uint64_t total() const;
+    };
+    struct server_loss
+    {
+        time_point at;
+        server_id server;
+    };
+
+    const suspect *find(std::uint64_t fingerprint, time_point now) const;
+    void noteLoss(const server_id &server, time_point now);
+    bool isLostTogether(const suspect &candidate) const;
+    void discardExpired(time_point now);
+
+    quarantine_settings m_settings;
+    known_good_cache m_good;
+    std::map<std::uint64_t, suspect> m_suspects;
+    std::map<service_id, time_point> m_lastCrash;
+    std::deque<server_loss> m_losses;
+    std::vector<observation> m_observations;
+};
+
+} // namespace waxwing
