--- a/src/backends/backend_pool.h
+++ b/src/backends/backend_pool.h
@@ -33,6 +33,13 @@
     std::chrono::milliseconds rampTime{10000};
     /// Factor by which a server of another zone must be faster to be preferred.
     double otherZoneFactor = 1.25;
+    /// Time after which an unused latency estimate or a failure counts half, so that a server that
+    /// became fast again is tried.
+    std::chrono::milliseconds estimateHalfLife{5000};
+    /// Time for which a reply outweighs a health report.
+    std::chrono::milliseconds replyOutweighsHealth{5000};
+    /// Requests in progress per slot at most, over all of a host's connections.
+    double requestsPerSlot = 4;
     /// Latency that is assumed before the first reply.
     std::chrono::milliseconds assumedLatency{5};
 
@@ -96,7 +103,14 @@
 
     /// Takes over the snapshots that a reply or refusal of the server reported for a shard.
     void onHeld(const server_id &server, const service_id &service, const shard_id &shard,
-                const std::vector<snapshot> &held);
+                const std::vector<snapshot> &held, time_point now);
+    /// A request to the server was cancelled because another replica answered first.
+    void onOutpaced(const server_id &server, duration elapsed, time_point now);
+    /// Whether `choose` would find a server if none were at its limit.
+    bool mayChooseLater(const service_id &service, const shard_id &shard,
+                        const std::vector<server_id> &replicas,
+                        const std::vector<server_id> &excluded, std::optional<snapshot> needed,
+                        wall_time wall) const;
     /// The most requests that this host may have in progress on the server, by its connections.
     void setConnectionLimit(const server_id &server, std::uint32_t connections);
     /// What is known about the server's hold on the snapshot of the shard.
