--- a/src/http/pending_request.h
+++ b/src/http/pending_request.h
@@ -15,6 +15,8 @@
     server_connection *connection = nullptr;
     /// evhttp's request, valid while `connection` is set.
     evhttp_request *received = nullptr;
+    /// Whether it is the first request on its connection.
+    bool first = false;
     /// Called once if the peer goes away before the response.
     std::function<void()> onDisconnect;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -30,6 +30,18 @@
         pending->connection->send(pending->received, answer);
 }
 
+void responder::drop()
+{
+    const auto pending = std::exchange(m_pending, nullptr);
+    if (pending && pending->connection != nullptr)
+        pending->connection->drop();
+}
+
+bool responder::isFirstOnConnection() const
+{
+    return m_pending && m_pending->first;
+}
+
 void responder::onDisconnect(std::function<void()> callback)
 {
     if (m_pending)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -43,6 +43,10 @@
 
     /// Sends the response; later calls do nothing.
     void respond(const response &answer);
+    /// Closes the connection without a response, as a host that fails does.
+    void drop();
+    /// Whether this is the first request on its connection.
+    bool isFirstOnConnection() const;
     /// Sets what is called once if the peer goes away before the response.
     void onDisconnect(std::function<void()> callback);
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -44,7 +44,7 @@
 server_connection::server_connection(server_core &core)
     : m_core(core), m_buffered(bufferevent_socket_new(core.base(), -1, 0)),
       m_attach(event_new(core.base(), -1, 0, onAttach, this)),
-      m_idleCheck(event_new(core.base(), -1, 0, onIdleCheck, this))
+      m_deferredClose(event_new(core.base(), -1, 0, onDeferredClose, this))
 {
     // Keeps the object valid until the close is noted, also when evhttp frees it first.
     bufferevent_incref(m_buffered);
@@ -76,6 +76,7 @@
     m_current = std::make_shared<pending_request>();
     m_current->connection = this;
     m_current->received = received;
+    m_current->first = !std::exchange(m_used, true);
     // evhttp does not read while a request is handled and would not notice the peer's close.
     m_peerWatch.reset(event_new(m_core.base(), bufferevent_getfd(m_buffered), EV_READ | EV_CLOSED,
                                 onReadable, this));
@@ -99,10 +100,18 @@
     evhttp_send_reply(received, answer.status, reasonPhrase(answer.status).data(), body.get());
 }
 
+void server_connection::drop()
+{
+    m_dropped = true;
+    m_current->onDisconnect = nullptr;
+    // The handler may still be called by evhttp, which uses the connection afterwards.
+    event_active(m_deferredClose.get(), EV_TIMEOUT, 0);
+}
+
 void server_connection::closeIfIdle()
 {
     evhttp_connection *connection = handle();
-    if (connection != nullptr && isIdle())
+    if (connection != nullptr && (m_dropped || isIdle()))
         evhttp_connection_free(connection);
 }
 
@@ -156,10 +165,10 @@
     connection->findHeaderEnd(bufferevent_get_input(connection->m_buffered));
     // evhttp still uses the connection here.
     if (connection->m_core.isDraining())
-        event_active(connection->m_idleCheck.get(), EV_TIMEOUT, 0);
+        event_active(connection->m_deferredClose.get(), EV_TIMEOUT, 0);
 }
 
-void server_connection::onIdleCheck(evutil_socket_t, short, void *self)
+void server_connection::onDeferredClose(evutil_socket_t, short, void *self)
 {
     static_cast<server_connection *>(self)->closeIfIdle();
 }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -38,6 +38,8 @@
     std::shared_ptr<pending_request> start(evhttp_request *received);
     /// Sends the response to the request in progress.
     void send(evhttp_request *received, const response &answer);
+    /// Closes the connection in place of a response.
+    void drop();
     /// Closes the connection unless a request or response is on its way.
     void closeIfIdle();
 
@@ -46,7 +48,7 @@
     static void onClosed(evhttp_connection *handle, void *self);
     static void onSent(evhttp_request *sent, void *self);
     static void onReadable(evutil_socket_t socket, short what, void *self);
-    static void onIdleCheck(evutil_socket_t socket, short what, void *self);
+    static void onDeferredClose(evutil_socket_t socket, short what, void *self);
     static void onInput(evbuffer *buffer, const evbuffer_cb_info *change, void *self);
     static void onOutput(evbuffer *buffer, const evbuffer_cb_info *change, void *self);
     void closed();
@@ -62,10 +64,14 @@
     evbuffer_cb_entry *m_outputWatch = nullptr;
     event_ptr m_attach;
     event_ptr m_peerWatch;
-    event_ptr m_idleCheck;
+    event_ptr m_deferredClose;
     std::shared_ptr<pending_request> m_current;
     /// Whether a response of ours is being written, as opposed to one of evhttp.
     bool m_sending = false;
+    /// Whether the connection is to be closed although a request is in progress.
+    bool m_dropped = false;
+    /// Whether a request was received before.
+    bool m_used = false;
     /// Bytes of the current request that evhttp has taken from the input.
     std::size_t m_consumed = 0;
     /// Whether the header of the current request ended within the limit.
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(answersUnansweredRequests);
     CPPUNIT_TEST(servesPipelinedRequestsInOrder);
     CPPUNIT_TEST(drainsWithoutCuttingRequests);
+    CPPUNIT_TEST(dropsConnection);
     CPPUNIT_TEST(failsOnAddressInUse);
     CPPUNIT_TEST_SUITE_END();
 
@@ -214,6 +215,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_server->connections());
     }
 
+    /// Guards against stand-ins that answer where they should lose the answer.
+    void dropsConnection()
+    {
+        raw_connection peer(m_server->localEndpoint());
+        for (std::size_t i = 0; i < 2; ++i) {
+            peer.write("GET / HTTP/1.1\r\n\r\n");
+            m_loop.runUntil([&] { return m_responders.size() == i + 1; });
+            CPPUNIT_ASSERT_EQUAL(i == 0, m_responders[i].isFirstOnConnection());
+            if (i == 0)
+                m_responders[i].respond(jsonResponse(200, "{}"));
+        }
+        m_responders[1].drop();
+        m_loop.runUntil([&] {
+            peer.poll();
+            return peer.closed;
+        });
+        CPPUNIT_ASSERT(peer.received.ends_with("{}"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_server->connections());
+    }
+
     /// Guards against a process that starts without its port.
     void failsOnAddressInUse()
     {
