--- /dev/null
+++ b/src/entry/caller_codec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "command/command_types.h"
+#include "core/refusal.h"
+#include "http/message.h"
+#include "query/search_types.h"
+
+#include <string>
+#include <variant>
+
+namespace waxwing {
+
+/// A request of a caller, or the answer to a malformed one.
+using caller_request = std::variant<search_request, command_request, refusal>;
+
+/// Reads a request of the callers' API (docs/design.md, section 4.1).
+caller_request parseCallerRequest(const http::request &message);
+
+/// Answer to a search.
+http::response formatSearchOutcome(const search_outcome &outcome);
+
+/// Answer to a command.
+http::response formatCommandOutcome(const command_outcome &outcome);
+
+} // namespace waxwing
--- a/src/entry/host_settings.cpp
+++ b/src/entry/host_settings.cpp
@@ -6,7 +6,7 @@
 namespace waxwing {
 namespace {
 
-constexpr std::size_t megabyte = 1024 * 1024;
+constexpr std::size_t megabyte = std::size_t{1024} * 1024;
 
 void readListen(settings_section section, listen_settings &target)
 {
@@ -51,7 +51,7 @@
     using bytes = number_range<std::size_t>;
     section.read("memory_bytes", target.memoryBytes, bytes{4 * megabyte, 1024 * megabyte});
     section.read("threads", target.threads, number{1, 64});
-    section.read("message_bytes", target.messageBytes, bytes{64 * 1024, 64 * megabyte});
+    section.read("message_bytes", target.messageBytes, bytes{megabyte / 16, 64 * megabyte});
     section.read("calls_per_peer", target.callsPerPeer, number{1, 100000});
     section.read("channels", target.channels, number{1, 10000});
     section.read("state_timeout_ms", target.stateTimeout, milliseconds{10, 60000});
--- /dev/null
+++ b/src/entry/retry_after.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "http/message.h"
+
+#include <chrono>
+
+namespace waxwing {
+
+/// `Retry-After` of a response; zero if it is missing or malformed, at most an hour.
+std::chrono::milliseconds readRetryAfter(const http::response &message);
+
+} // namespace waxwing
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Largest accepted settings file, in bytes.
-constexpr std::size_t maxFileBytes = 1024 * 1024;
+constexpr std::size_t maxFileBytes = std::size_t{1024} * 1024;
 
 } // namespace
 
--- a/src/settings/settings_section.cpp
+++ b/src/settings/settings_section.cpp
@@ -26,8 +26,9 @@
 
 } // namespace
 
-settings_section::settings_section(YAML::Node node, std::string path, settings_problems &problems)
-    : m_node(std::move(node)), m_path(std::move(path)), m_problems(problems)
+settings_section::settings_section(const YAML::Node &node, std::string path,
+                                   settings_problems &problems)
+    : m_node(node), m_path(std::move(path)), m_problems(problems)
 {
     if (m_node.IsMap() || m_node.IsNull())
         return;
--- a/src/settings/settings_section.h
+++ b/src/settings/settings_section.h
@@ -33,7 +33,7 @@
 {
 public:
     /// `node` is a mapping or null; `problems` must outlive the section.
-    settings_section(YAML::Node node, std::string path, settings_problems &problems);
+    settings_section(const YAML::Node &node, std::string path, settings_problems &problems);
 
     /// The mapping below `key`; one without keys if it is not there.
     settings_section section(const std::string &key);
