Add the gRPC and UDP shells between entry hosts

Memory, threads, message sizes and calls for each connection are bounded by the public options of gRPC, and channels by number. gRPC has no status for a connection that could not be opened; its error text decides whether a request may have been received, and an unknown text counts as received.

gossip_socket counts and drops datagrams that are malformed or larger than 1,200 bytes. All messages are checked before they become events: enumerations, ports, times, scores that are not numbers, JSON of commands.

--- /dev/null
+++ b/src/entry/peer_channels.cpp
@@ -0,0 +1,50 @@
+#include "entry/peer_channels.h"
+
+#include <grpcpp/resource_quota.h>
+
+#include <algorithm>
+
+namespace waxwing {
+namespace {
+
+grpc::ChannelArguments channelArguments(const peer_limits &limits)
+{
+    grpc::ChannelArguments arguments;
+    grpc::ResourceQuota quota("peer_client");
+    quota.Resize(limits.memoryBytes);
+    arguments.SetResourceQuota(quota);
+    arguments.SetMaxReceiveMessageSize(static_cast<int>(limits.messageBytes));
+    // A peer that comes back is reached within a second, not after the default of two minutes.
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 500);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
+    // Whether a forwarded request is sent again is decided by the reducer alone, and peers are
+    // reached by address whatever proxy the environment names.
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    return arguments;
+}
+
+} // namespace
+
+peer_channels::peer_channels(const peer_limits &limits)
+    : m_arguments(channelArguments(limits)), m_limit(limits.channels)
+{ }
+
+std::shared_ptr<wire::Peer::Stub> peer_channels::get(const endpoint &peer)
+{
+    const auto found = std::find_if(m_kept.begin(), m_kept.end(),
+                                    [&peer](const auto &kept) { return kept.peer == peer; });
+    if (found != m_kept.end()) {
+        m_kept.splice(m_kept.begin(), m_kept, found);
+        return m_kept.front().stub;
+    }
+    const auto channel = grpc::CreateCustomChannel("ipv4:" + peer.toString(),
+                                                   grpc::InsecureChannelCredentials(), m_arguments);
+    m_kept.push_front({peer, wire::Peer::NewStub(channel)});
+    if (m_kept.size() > m_limit)
+        m_kept.pop_back();
+    return m_kept.front().stub;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/tests/membership/gossip_codec_test.cpp
@@ -0,0 +1,88 @@
+#include "membership/gossip_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <peer.pb.h>
+
+#include <iostream>
+#include <random>
+
+namespace waxwing {
+namespace {
+
+gossip_message wholeMessage()
+{
+    const member self{{"h1"}, {"z"}, {"127.0.0.1", 1}, {"127.0.0.1", 2}, 7, member_state::Leaving,
+                      9};
+    return {gossip_message::message_kind::IndirectProbe,
+            self,
+            5,
+            6,
+            {"h2"},
+            {self},
+            {{fact_kind::RequestQuarantined, "x", {"h1"}, 3, 4, std::chrono::milliseconds(50)}}};
+}
+
+} // namespace
+
+class gossip_codec_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(gossip_codec_test);
+    CPPUNIT_TEST(roundTripsWholeMessage);
+    CPPUNIT_TEST(refusesFieldsOutOfRange);
+    CPPUNIT_TEST(survivesDamagedDatagrams);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against fields that get lost between two hosts.
+    void roundTripsWholeMessage()
+    {
+        const auto decoded = decodeGossip(encodeGossip(wholeMessage()));
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT(*decoded == wholeMessage());
+    }
+
+    /// Guards against values outside of enumerations and ports in the state.
+    void refusesFieldsOutOfRange()
+    {
+        using edit = void (*)(wire::Gossip &);
+        for (const edit change : std::initializer_list<edit>{
+                 [](auto &message) { message.set_kind(3); },
+                 [](auto &message) { message.clear_sender(); },
+                 [](auto &message) { message.mutable_sender()->set_state(4); },
+                 [](auto &message) { message.mutable_sender()->mutable_peer()->set_port(65536); },
+                 [](auto &message) { message.mutable_sender()->mutable_peer()->set_port(0); },
+                 [](auto &message) { message.mutable_updates(0)->clear_host(); },
+                 [](auto &message) {
+                     message.mutable_updates(0)->mutable_gossip()->set_address("a.example");
+                 },
+                 [](auto &message) { message.mutable_facts(0)->set_kind(2); },
+                 [](auto &message) { message.mutable_facts(0)->set_valid_for_ms(UINT64_MAX); }}) {
+            wire::Gossip message;
+            CPPUNIT_ASSERT(message.ParseFromString(encodeGossip(wholeMessage())));
+            change(message);
+            CPPUNIT_ASSERT(!decodeGossip(message.SerializeAsString()).has_value());
+        }
+        CPPUNIT_ASSERT(!decodeGossip(std::string(maxDatagramBytes + 1, '\0')).has_value());
+    }
+
+    /// Guards against crashes on truncated and damaged datagrams.
+    void survivesDamagedDatagrams()
+    {
+        const std::string whole = encodeGossip(wholeMessage());
+        for (std::size_t size = 0; size < whole.size(); ++size)
+            (void)decodeGossip(whole.substr(0, size));
+        constexpr unsigned seed = 20261203;
+        std::cout << " seed " << seed << ' ';
+        std::mt19937 random(seed);
+        for (int round = 0; round < 20000; ++round) {
+            std::string damaged = whole;
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+            (void)decodeGossip(damaged);
+        }
+        CPPUNIT_ASSERT(!decodeGossip("").has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gossip_codec_test);
+
+} // namespace waxwing
