--- a/src/configuration/json_pointer.h
+++ b/src/configuration/json_pointer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <nlohmann/json.hpp>
+
 #include <string>
 #include <string_view>
 
@@ -11,4 +13,8 @@
 /// The JSON pointer `base` with an array index.
 std::string appendToPointer(std::string base, std::size_t index);
 
+/// The JSON pointer with the ids of array elements instead of their positions in `document`.
+/// Positions of elements without an id stay.
+std::string withIds(const std::string &pointer, const nlohmann::json &document);
+
 } // namespace waxwing
