--- a/src/entry/entry_dispatch.cpp
+++ b/src/entry/entry_dispatch.cpp
@@ -24,7 +24,7 @@
     m_parts.random.seed(start.randomSeed);
     m_parts.isStarted = true;
     m_parts.members.start(m_context, start.self, start.seeds);
-    m_parts.documents.start(m_context, start.seeds);
+    m_parts.documents.start(m_context, start.seedPeers);
 }
 
 void entry_dispatch::operator()(const stop_requested &)
--- a/src/events/event.h
+++ b/src/events/event.h
@@ -25,10 +25,12 @@
 {
     /// This host, with the incarnation of this start.
     member self;
-    /// Members to contact first, from the settings.
+    /// UDP addresses of members to contact first, from the settings.
     std::vector<endpoint> seeds;
     /// Seed of the random engine.
     std::uint64_t randomSeed = 0;
+    /// gRPC addresses of members to fetch the state from first, from the settings.
+    std::vector<endpoint> seedPeers;
 
     bool operator==(const started &) const = default;
 };
