--- a/src/configuration/platform_call.h
+++ b/src/configuration/object_call.h
@@ -16,7 +16,7 @@
 inline constexpr const char *historyKind = "configuration-history";
 
 /// A call of the platform's object API.
-struct platform_call
+struct object_call
 {
     /// Kind of the object.
     std::string kind;
@@ -29,7 +29,7 @@
     /// Pause before the call.
     std::chrono::milliseconds pause{0};
 
-    bool operator==(const platform_call &) const = default;
+    bool operator==(const object_call &) const = default;
 };
 
 /// The object that a read found, or that a write met instead of the expected one.
@@ -88,7 +88,7 @@
 };
 
 /// What a call ended with.
-using platform_answer = std::variant<found_object, missing_object, object_written, write_conflict,
-                                     call_failed, call_refused>;
+using object_answer = std::variant<found_object, missing_object, object_written, write_conflict,
+                                   call_failed, call_refused>;
 
 } // namespace waxwing
--- a/src/configuration/submission.cpp
+++ b/src/configuration/submission.cpp
@@ -5,7 +5,7 @@
 namespace waxwing {
 namespace {
 
-platform_call historyCall(std::uint64_t revision, std::optional<std::string> text)
+object_call historyCall(std::uint64_t revision, std::optional<std::string> text)
 {
     return {historyKind, std::to_string(revision), std::move(text)};
 }
@@ -21,7 +21,7 @@
     return read();
 }
 
-submission::step submission::onAnswer(std::uint64_t number, const platform_answer &answer)
+submission::step submission::onAnswer(std::uint64_t number, const object_answer &answer)
 {
     if (number != m_number || m_phase == phase::Finished)
         return {};
@@ -52,7 +52,7 @@
                   "revision " + std::to_string(m_next.document->revision) + " is accepted");
 }
 
-submission::step submission::call(phase next, platform_call what)
+submission::step submission::call(phase next, object_call what)
 {
     m_phase = next;
     m_lastCall = what;
@@ -101,20 +101,20 @@
     return submission_outcome{result, std::move(detail), {}, {}};
 }
 
-submission::step submission::onRead(const platform_answer &answer)
+submission::step submission::onRead(const object_answer &answer)
 {
     if (const auto *object = std::get_if<found_object>(&answer))
         return onObject(*object);
     return onMissing();
 }
 
-submission::step submission::onBaseRecorded(const platform_answer &)
+submission::step submission::onBaseRecorded(const object_answer &)
 {
     // A conflict means that the revision is already recorded.
     return write();
 }
 
-submission::step submission::onWritten(const platform_answer &answer)
+submission::step submission::onWritten(const object_answer &answer)
 {
     if (std::holds_alternative<object_written>(answer))
         return recordNext();
@@ -124,7 +124,7 @@
     return onObject(*conflicting->current);
 }
 
-submission::step submission::onSuccessor(const platform_answer &answer)
+submission::step submission::onSuccessor(const object_answer &answer)
 {
     const auto *object = std::get_if<found_object>(&answer);
     if (object != nullptr) {
@@ -181,7 +181,7 @@
     // Reads of the platform may be stale, so it is asked again before a restore is assumed.
     if (m_failures + 1 < m_settings.failures) {
         m_phase = phase::Reading;
-        m_lastCall = platform_call{configurationKind, currentName, std::nullopt};
+        m_lastCall = object_call{configurationKind, currentName, std::nullopt};
         return retry("the platform serves an older revision");
     }
     if (m_uncertain)
--- a/src/configuration/submission.h
+++ b/src/configuration/submission.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "configuration/change.h"
-#include "configuration/platform_call.h"
+#include "configuration/object_call.h"
 
 #include <chrono>
 #include <cstdint>
@@ -67,7 +67,7 @@
         /// Number of the call.
         std::uint64_t number = 0;
         /// The call.
-        platform_call call;
+        object_call call;
     };
     /// What comes next; nothing if the answer was not expected.
     using step = std::variant<std::monostate, call_step, submission_outcome>;
@@ -78,12 +78,12 @@
     /// The first step.
     step start();
     /// Handles the answer to the call `number`. An answer that arrives twice is ignored.
-    step onAnswer(std::uint64_t number, const platform_answer &answer);
+    step onAnswer(std::uint64_t number, const object_answer &answer);
 
 private:
     enum class phase { Reading, RecordingBase, Writing, ReadingSuccessor, RecordingNext, Finished };
 
-    step call(phase next, platform_call what);
+    step call(phase next, object_call what);
     step read();
     step write();
     step recordBase();
@@ -91,10 +91,10 @@
     step retry(const std::string &detail);
     step finish(submission_result result, std::string detail);
 
-    step onRead(const platform_answer &answer);
-    step onBaseRecorded(const platform_answer &answer);
-    step onWritten(const platform_answer &answer);
-    step onSuccessor(const platform_answer &answer);
+    step onRead(const object_answer &answer);
+    step onBaseRecorded(const object_answer &answer);
+    step onWritten(const object_answer &answer);
+    step onSuccessor(const object_answer &answer);
 
     step onObject(const found_object &object);
     step onCurrent(const configuration_copy &current);
@@ -113,7 +113,7 @@
     std::uint64_t m_version = 0;
     /// Whether a write was sent whose effect is not known.
     bool m_uncertain = false;
-    std::optional<platform_call> m_lastCall;
+    std::optional<object_call> m_lastCall;
     std::optional<configuration_copy> m_current;
 };
 
--- a/tests/configuration/submission_test.cpp
+++ b/tests/configuration/submission_test.cpp
@@ -17,7 +17,7 @@
 public:
     enum class fault { None, Down, LostBefore, LostAfter };
 
-    platform_answer call(const platform_call &what)
+    object_answer call(const object_call &what)
     {
         const auto next = faults.empty() ? fault::None : faults.front();
         if (!faults.empty())
@@ -37,13 +37,13 @@
     int writes = 0;
 
 private:
-    platform_answer read(const platform_call &what) const
+    object_answer read(const object_call &what) const
     {
         const auto found = objects.find({what.kind, what.name});
-        return found == objects.end() ? platform_answer(missing_object{}) : found->second;
+        return found == objects.end() ? object_answer(missing_object{}) : found->second;
     }
 
-    platform_answer write(const platform_call &what)
+    object_answer write(const object_call &what)
     {
         auto &object = objects[{what.kind, what.name}];
         if (object.version != what.version)
