--- a/src/admission/admission_control.h
+++ b/src/admission/admission_control.h
@@ -15,7 +15,7 @@
 struct admission_settings
 {
     /// Searches in progress that a service may always have, before its pace is known.
-    std::size_t alwaysAdmitted = 8;
+    std::size_t alwaysAdmitted = 32;
     /// Searches in progress of all services together; bounds the memory of the host.
     std::size_t maxInProgress = 4000;
     /// Share of the deadline that the estimated wait may take.
@@ -58,13 +58,12 @@
     {
         std::size_t inProgress = 0;
         std::map<std::string, std::size_t> byCaller;
-        double leastSeconds = 0;
+        /// Averages over answered searches: time, and searches in progress at their end.
         double meanSeconds = 0;
         double meanConcurrency = 0;
     };
 
-    std::optional<admission_refusal> checkCaller(const load &target, const std::string &caller,
-                                                 std::size_t limit) const;
+    bool isOverShare(const load &target, const std::string &caller, std::size_t limit) const;
     std::size_t limitOf(const load &target, duration timeLeft) const;
 
     admission_settings m_settings;
--- a/src/backends/backend_pool.h
+++ b/src/backends/backend_pool.h
@@ -104,7 +104,8 @@
     /// Takes over the snapshots that a reply or refusal of the server reported for a shard.
     void onHeld(const server_id &server, const service_id &service, const shard_id &shard,
                 const std::vector<snapshot> &held, time_point now);
-    /// A request to the server was cancelled because another replica answered first.
+    /// A request to the server was not answered within `elapsed`, so another replica's answer was
+    /// used. It stays in progress until `onAbandoned`.
     void onOutpaced(const server_id &server, duration elapsed, time_point now);
     /// Whether `choose` would find a server if none were at its limit.
     bool mayChooseLater(const service_id &service, const shard_id &shard,
--- a/src/backends/server_record.cpp
+++ b/src/backends/server_record.cpp
@@ -103,7 +103,6 @@
 
 void server_record::onOutpaced(duration elapsed, time_point now)
 {
-    endRequest();
     // The true latency is longer than `elapsed`; a shorter sample would hide a slow server.
     if (toSeconds(elapsed) > m_latency.value_or(0))
         sample(toSeconds(elapsed), now);
--- /dev/null
+++ b/src/quarantine/request_quarantine.cpp
@@ -0,0 +1,156 @@
+#include "quarantine/request_quarantine.h"
+
+#include "core/hash.h"
+
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwing {
+namespace {
+
+// 2 x 20,000 fingerprints take less than 1 MB; a popular query returns to the cache at once.
+constexpr std::size_t goodGenerationSize = 20000;
+constexpr std::chrono::minutes goodGenerationTime{5};
+
+} // namespace
+
+std::uint64_t requestFingerprint(const service_id &service, std::string_view query)
+{
+    return stableHash(query, stableHash(service.value));
+}
+
+request_quarantine::request_quarantine(quarantine_settings settings)
+    : m_settings(settings), m_good(goodGenerationSize, goodGenerationTime)
+{ }
+
+std::optional<std::chrono::milliseconds> request_quarantine::listedFor(std::uint64_t fingerprint,
+                                                                       time_point now) const
+{
+    const suspect *known = find(fingerprint, now);
+    if (known == nullptr || known->crashes < m_settings.crashesToList)
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(known->expires - now);
+}
+
+bool request_quarantine::isKnownGood(std::uint64_t fingerprint) const
+{
+    return m_good.contains(fingerprint);
+}
+
+bool request_quarantine::isSuspect(std::uint64_t fingerprint, time_point now) const
+{
+    return find(fingerprint, now) != nullptr && !isKnownGood(fingerprint);
+}
+
+bool request_quarantine::isAlert(const service_id &service, time_point now) const
+{
+    const auto crash = m_lastCrash.find(service);
+    return crash != m_lastCrash.end() && now - crash->second < m_settings.alertTime;
+}
+
+void request_quarantine::onAnswer(std::uint64_t fingerprint, time_point now)
+{
+    if (m_good.contains(fingerprint))
+        return;
+    const auto known = m_suspects.find(fingerprint);
+    if (known != m_suspects.end()) {
+        if (known->second.crashes >= m_settings.crashesToList)
+            return;
+        m_suspects.erase(known);
+    }
+    m_good.add(fingerprint, now);
+}
+
+bool request_quarantine::onConnectionLost(const service_id &service, std::uint64_t fingerprint,
+                                          const server_id &server, time_point sent, time_point now)
+{
+    m_lastCrash[service] = now;
+    noteLoss(server, now);
+    if (m_good.contains(fingerprint))
+        return false;
+    suspect *known = insert(fingerprint, now);
+    if (known == nullptr)
+        return false;
+    known->servers.insert(server);
+    // Losses of one wave are one crash at most: a lost zone breaks many connections at once.
+    const bool sameWave = known->crashes != 0 && sent < known->countedAt;
+    if (sameWave)
+        return known->crashes >= m_settings.crashesToList;
+    if (known->crashes + 1 >= m_settings.crashesToList && isLostTogether(*known))
+        return false;
+    ++known->crashes;
+    known->countedAt = now;
+    known->expires = now + m_settings.listedFor;
+    m_observations.push_back(
+        {fmt::format("{:016x}", fingerprint), known->crashes, m_settings.listedFor});
+    return known->crashes >= m_settings.crashesToList;
+}
+
+void request_quarantine::onFact(const fact &heard, time_point now)
+{
+    std::uint64_t fingerprint = 0;
+    if (!absl::SimpleHexAtoi(heard.subject, &fingerprint) || heard.validFor.count() <= 0)
+        return;
+    suspect *known = insert(fingerprint, now);
+    if (known == nullptr)
+        return;
+    known->expires = std::max(known->expires, now + std::min(heard.validFor, m_settings.listedFor));
+    const auto crashes = static_cast<std::uint32_t>(std::min<std::uint64_t>(heard.value, 1000));
+    // Two hosts may have seen the same crash, so their counts are not added up.
+    if (crashes <= known->crashes)
+        return;
+    known->crashes = crashes;
+    known->countedAt = now;
+}
+
+std::vector<request_quarantine::observation> request_quarantine::takeObservations()
+{
+    return std::exchange(m_observations, {});
+}
+
+const request_quarantine::suspect *request_quarantine::find(std::uint64_t fingerprint,
+                                                            time_point now) const
+{
+    const auto known = m_suspects.find(fingerprint);
+    if (known == m_suspects.end() || known->second.expires <= now)
+        return nullptr;
+    return &known->second;
+}
+
+request_quarantine::suspect *request_quarantine::insert(std::uint64_t fingerprint, time_point now)
+{
+    const auto known = m_suspects.find(fingerprint);
+    if (known != m_suspects.end() && known->second.expires > now)
+        return &known->second;
+    if (m_suspects.size() >= m_settings.maxSuspects)
+        std::erase_if(m_suspects, [&](const auto &entry) { return entry.second.expires <= now; });
+    if (m_suspects.size() >= m_settings.maxSuspects)
+        return nullptr;
+    suspect &fresh = m_suspects[fingerprint];
+    fresh = suspect();
+    fresh.expires = now + m_settings.listedFor;
+    return &fresh;
+}
+
+void request_quarantine::noteLoss(const server_id &server, time_point now)
+{
+    while (!m_losses.empty() && now - m_losses.front().at > m_settings.burstWindow)
+        m_losses.pop_front();
+    const bool isKnown = std::any_of(m_losses.begin(), m_losses.end(),
+                                     [&](const auto &loss) { return loss.server == server; });
+    if (!isKnown)
+        m_losses.push_back({now, server});
+}
+
+bool request_quarantine::isLostTogether(const suspect &candidate) const
+{
+    const auto unrelated = std::count_if(m_losses.begin(), m_losses.end(), [&](const auto &loss) {
+        return !candidate.servers.contains(loss.server);
+    });
+    return static_cast<std::size_t>(unrelated) >= m_settings.unrelatedLosses;
+}
+
+} // namespace waxwing
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -28,6 +28,8 @@
     std::chrono::milliseconds alertTime{120000};
     /// Servers lost within this time are taken as lost together.
     std::chrono::milliseconds burstWindow{1000};
+    /// Servers lost together without a request after which the request is not taken as the cause.
+    std::size_t unrelatedLosses = 2;
     /// Suspected requests that are remembered.
     std::size_t maxSuspects = 10000;
 
@@ -62,30 +64,29 @@
     /// Takes over a fact of another host.
     void onFact(const fact &heard, time_point now);
 
-    /// Crashes counted here since the last call, to be published as facts.
+    /// Crash counted here, to be published as a fact.
     struct observation
     {
         /// Subject of the fact.
         std::string subject;
-        /// Crashes of the request seen by this host.
+        /// Crashes of the request known to this host.
         std::uint64_t crashes = 0;
         /// Time that the observation is valid.
         std::chrono::milliseconds validFor{0};
 
         bool operator==(const observation &) const = default;
     };
+    /// Observations since the last call.
     std::vector<observation> takeObservations();
 
 private:
     struct suspect
     {
-        std::map<host_id, std::uint64_t> crashes;
-        std::uint64_t ownCrashes = 0;
-        time_point lastLoss;
+        std::uint32_t crashes = 0;
+        /// Attempts sent before this saw the same crash as the count already has.
+        time_point countedAt;
         time_point expires;
         std::set<server_id> servers;
-
-        std::uint64_t total() const;
     };
     struct server_loss
     {
@@ -94,9 +95,9 @@
     };
 
     const suspect *find(std::uint64_t fingerprint, time_point now) const;
+    suspect *insert(std::uint64_t fingerprint, time_point now);
     void noteLoss(const server_id &server, time_point now);
     bool isLostTogether(const suspect &candidate) const;
-    void discardExpired(time_point now);
 
     quarantine_settings m_settings;
     known_good_cache m_good;
--- /dev/null
+++ b/src/query/attempt_budget.h
@@ -0,0 +1,22 @@
+#pragma once
+
+namespace waxwing {
+
+/// Extra requests in proportion to the ordinary ones (token bucket).
+class attempt_budget
+{
+public:
+    /// Holds at most `burst` unused extra requests, and starts with that many.
+    explicit attempt_budget(double burst);
+
+    /// `requests` ordinary requests were sent; each allows `share` extra ones.
+    void earn(double requests, double share);
+    /// Takes one extra request. Returns false if none is left.
+    bool spend();
+
+private:
+    double m_burst;
+    double m_tokens;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/query/canary_policy.cpp
@@ -0,0 +1,109 @@
+#include "query/canary_policy.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace waxwing {
+namespace {
+
+/// Replicas in the order that every host has for the request.
+std::vector<server_id> rankedReplicas(const std::vector<server_id> &replicas,
+                                      std::uint64_t fingerprint)
+{
+    std::vector<std::pair<std::uint64_t, server_id>> ranked;
+    ranked.reserve(replicas.size());
+    for (const server_id &replica : replicas)
+        ranked.emplace_back(stableHash(replica.value, fingerprint), replica);
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<server_id> ordered;
+    ordered.reserve(ranked.size());
+    for (auto &entry : ranked)
+        ordered.push_back(std::move(entry.second));
+    return ordered;
+}
+
+bool isUndecided(const shard_progress &shard)
+{
+    return shard.step == shard_progress::step_kind::Unsent
+        || shard.step == shard_progress::step_kind::InProgress;
+}
+
+} // namespace
+
+void canary_policy::begin(search_work &work, running_search &search)
+{
+    search.canary.reset();
+    if (search.shards.size() < 2 || work.environment.quarantine.isKnownGood(search.fingerprint))
+        return;
+    search.canary.emplace();
+    search.canary->shard = search.fingerprint % search.shards.size();
+    search.canary->until = waitEnd(work, search);
+}
+
+std::optional<server_id> canary_policy::chooseServer(const search_work &work,
+                                                     const running_search &search)
+{
+    const std::size_t index = search.canary->shard;
+    const shard &part = search.parts->shards[index];
+    const shard_progress &progress = search.shards[index];
+    backend_pool &backends = work.environment.backends;
+    const bool suspect =
+        work.environment.quarantine.isSuspect(search.fingerprint, work.context.now);
+    const auto ranked = rankedReplicas(part.replicas, search.fingerprint);
+    // First pass: healthy servers outside the avoided zone; then the zone; then ejected ones.
+    for (int pass = 0; pass < 3; ++pass) {
+        for (const server_id &server : ranked) {
+            const zone_id *zone = backends.zoneOf(server);
+            if (pass == 0 && zone != nullptr && search.canary->avoided == *zone)
+                continue;
+            if (pass < 2 && backends.isEjected(server, work.context.now))
+                continue;
+            // One suspect on a server at a time, so that a crash shows which one it was.
+            if (suspect && work.state.suspects.contains(server))
+                continue;
+            const auto chosen =
+                backends.choose(search.target->id, part.id, {server}, progress.tried, search.at,
+                                work.context.now, work.context.wall, work.context.random);
+            if (chosen.has_value())
+                return chosen;
+        }
+    }
+    return std::nullopt;
+}
+
+bool canary_policy::moveOn(search_work &work, running_search &search,
+                           const std::optional<server_id> &lost)
+{
+    const std::size_t previous = search.canary.has_value() ? search.canary->shard : 0;
+    canary_progress next;
+    next.until = waitEnd(work, search);
+    if (lost.has_value()) {
+        const zone_id *zone = work.environment.backends.zoneOf(*lost);
+        if (zone != nullptr)
+            next.avoided = *zone;
+    }
+    for (std::size_t step = 1; step <= search.shards.size(); ++step) {
+        next.shard = (previous + step) % search.shards.size();
+        if (!isUndecided(search.shards[next.shard]))
+            continue;
+        search.canary = next;
+        return true;
+    }
+    search.canary.reset();
+    return false;
+}
+
+time_point canary_policy::waitEnd(const search_work &work, const running_search &search)
+{
+    const auto &quarantine = work.environment.quarantine;
+    const time_point now = work.context.now;
+    const bool alert =
+        quarantine.isSuspect(search.fingerprint, now) || quarantine.isAlert(search.target->id, now);
+    const query_settings &settings = work.state.settings;
+    const double share = alert ? settings.alertCanaryShare : settings.quietCanaryShare;
+    const std::chrono::duration<double> left = search.deadline - now;
+    return now + std::chrono::duration_cast<duration>(left * share);
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/query/canary_policy.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "query/query_state.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace waxwing {
+
+/// First wave of a request that is not known to be good: one shard, whose reply shows that the
+/// request does not crash servers. All hosts choose the same servers for a request, so that copies
+/// that arrive at several hosts together crash the same server.
+class canary_policy
+{
+public:
+    /// Decides whether the search needs a canary shard, and which.
+    static void begin(search_work &work, running_search &search);
+    /// Server for the canary shard; empty if none may get the request now.
+    static std::optional<server_id> chooseServer(const search_work &work,
+                                                 const running_search &search);
+    /// Moves the canary to another shard that can still be sent, away from the zone of `lost`.
+    /// Returns false if there is none.
+    static bool moveOn(search_work &work, running_search &search,
+                       const std::optional<server_id> &lost);
+
+private:
+    static time_point waitEnd(const search_work &work, const running_search &search);
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/query/fan_out.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "query/query_state.h"
+
+#include <cstddef>
+
+namespace waxwing {
+
+/// What a failed attempt means for its search.
+enum class failure_effect {
+    /// The search goes on.
+    None,
+    /// A shard does not hold the snapshot on any replica.
+    SnapshotMissing,
+    /// The request is quarantined now.
+    Quarantined,
+    /// The request is suspected of a crash and may not be tried again.
+    Suspected,
+};
+
+/// Requests to backend servers for one search: first wave, the rest, hedges and retries.
+class fan_out
+{
+public:
+    fan_out(search_work &work, running_search &search);
+
+    /// Begins on a snapshot. Attempts of an earlier one have been abandoned.
+    void begin(const partitioning &parts, const snapshot &at);
+    /// Sends the shards that wait for a replica, or only the canary shard.
+    void sendUnsent();
+    /// Sends the shard at `index`, which is the first in its queue. Returns whether it left the
+    /// queue.
+    bool sendQueued(std::size_t index);
+    /// Takes a reply of the shard at `index`.
+    void onAnswer(std::size_t index, const leaf_attempt &attempt, const leaf_answer &answer);
+    /// Takes a failure of the shard at `index`.
+    failure_effect onFailure(std::size_t index, const leaf_attempt &attempt,
+                             const leaf_failure &failure);
+    /// Sends the hedges that are due.
+    void sendDueHedges();
+    /// Lets the other shards go without the canary shard's reply.
+    void releaseCanary();
+    /// Gives up the shard at `index`.
+    void loseShard(std::size_t index);
+    /// Cancels everything in progress.
+    void abandonAll();
+    /// What the shard at `index` is asked.
+    leaf_search question(std::size_t index) const;
+
+private:
+    void sendShard(std::size_t index);
+    std::optional<server_id> chooseServer(std::size_t index) const;
+    bool isTooLate() const;
+    bool mustQueue(std::size_t index) const;
+    void joinQueue(std::size_t index);
+    void leaveQueue(std::size_t index);
+    void accountSent();
+    shard_queue::key queueKey(std::size_t index) const;
+    void send(std::size_t index, const server_id &server);
+    void lose(std::size_t index);
+    void abandon(std::size_t index, bool outpaced);
+    failure_effect onCrash(std::size_t index, const leaf_attempt &attempt);
+    failure_effect onNoReplica(std::size_t index, bool notHeld);
+    void hedge(std::size_t index);
+    duration hedgeDelay() const;
+    bool mayChooseLater(std::size_t index) const;
+    bool isKnownGood() const;
+
+    search_work &m_work;
+    running_search &m_search;
+    std::size_t m_sent = 0;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/query/leaf_latency.cpp
@@ -0,0 +1,37 @@
+#include "query/leaf_latency.h"
+
+namespace waxwing {
+namespace {
+
+namespace accumulators = boost::accumulators;
+
+} // namespace
+
+leaf_latency::leaf_latency(double probability) : m_probability(probability), m_window(makeWindow())
+{ }
+
+void leaf_latency::add(duration latency, time_point now)
+{
+    if (accumulators::count(m_window) == 0)
+        m_windowStart = now;
+    m_window(std::chrono::duration<double>(latency).count());
+    const std::size_t samples = accumulators::count(m_window);
+    if (samples < fewestSamples)
+        return;
+    const bool full = samples >= windowSize || now - m_windowStart >= windowTime;
+    if (!full && (!m_isFirst || samples % fewestSamples != 0))
+        return;
+    const std::chrono::duration<double> seconds(accumulators::p_square_quantile(m_window));
+    m_estimate = std::chrono::duration_cast<duration>(seconds);
+    if (!full)
+        return;
+    m_isFirst = false;
+    m_window = makeWindow();
+}
+
+leaf_latency::accumulator leaf_latency::makeWindow() const
+{
+    return accumulator(accumulators::quantile_probability = m_probability);
+}
+
+} // namespace waxwing
--- a/src/query/query_settings.h
+++ b/src/query/query_settings.h
@@ -12,8 +12,9 @@
     std::chrono::milliseconds mergeTime{2};
     /// Time that a forwarded search loses on the way.
     std::chrono::milliseconds hopTime{4};
-    /// Time between two looks for a free replica while all are at their limits.
-    std::chrono::milliseconds limitPause{2};
+    /// Time between two looks for a free replica while all are at their limits. A replica that
+    /// becomes free by a reply for the same shard is used at once.
+    std::chrono::milliseconds limitPause{10};
     /// Hedge delay before a service has enough replies for an estimate.
     std::chrono::milliseconds firstHedgeDelay{50};
     /// Quantile of the leaf latency after which a shard is hedged.
--- /dev/null
+++ b/src/query/snapshot_selection.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "backends/backend_pool.h"
+#include "configuration/configuration.h"
+#include "query/search_types.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace waxwing {
+
+/// Chooses the snapshot of a search: the newest one that every shard can serve, otherwise the one
+/// with the most documents. Choices are kept until what is known about the servers changes.
+class snapshot_selection
+{
+public:
+    /// The snapshot for a new search of the service; empty if no server reported any yet.
+    std::optional<snapshot> choose(const std::shared_ptr<const configuration> &document,
+                                   const service &target, const backend_pool &backends,
+                                   time_point now, wall_time wall);
+
+private:
+    struct choice
+    {
+        std::shared_ptr<const configuration> document;
+        std::uint64_t knowledgeVersion = 0;
+        std::optional<wall_time> validUntil;
+        std::optional<snapshot> chosen;
+    };
+
+    std::map<service_id, choice> m_choices;
+};
+
+/// Whether every replica of the shard that may work reported that it does not hold the snapshot.
+bool isSnapshotGone(const service_id &service, const shard &part, const snapshot &wanted,
+                    const backend_pool &backends, wall_time wall);
+
+} // namespace waxwing
