Keep the connections of released servers until their searches end

Cause: a host that stops, or loses a service to another holder, set the connection limit of its servers to 0 at once. Searches whose canary was on its way could not send the remaining shards and waited for their deadline: in the scenario host_stops 4 answers of the stopping hosts covered one shard of three and took 498 ms of 500 ms.

Ruled out: the stop sequence itself; it waits for requests in progress.

--- a/src/entry/entry_dispatch.cpp
+++ b/src/entry/entry_dispatch.cpp
@@ -16,7 +16,8 @@
     auto environment = m_parts.queryEnvironment();
     m_parts.queries.onTick(m_context, environment);
     m_parts.commands.onTick(m_context);
-    m_parts.poller.onTick(m_context);
+    for (const auto &[server, connections] : m_parts.poller.onTick(m_context))
+        m_parts.backends.setConnectionLimit(server, connections);
 }
 
 void entry_dispatch::operator()(const started &start)
--- a/src/entry/health_poller.cpp
+++ b/src/entry/health_poller.cpp
@@ -30,7 +30,7 @@
 {
     std::map<server_id, std::uint32_t> changed;
     const auto held = heldServers(document, holders, self);
-    removeMissing(context, held, changed);
+    scheduleReleases(context.now, held);
     for (const auto &[id, connections] : held) {
         const backend_server *server = document.findServer(id);
         if (server == nullptr)
@@ -55,23 +55,36 @@
     return changed;
 }
 
-void health_poller::removeMissing(reduce_context &context,
-                                  const std::map<server_id, std::uint32_t> &held,
-                                  std::map<server_id, std::uint32_t> &changed)
+void health_poller::scheduleReleases(time_point now, const std::map<server_id, std::uint32_t> &held)
 {
-    for (auto entry = m_targets.begin(); entry != m_targets.end();) {
-        if (held.count(entry->first) != 0) {
-            ++entry;
-            continue;
+    for (auto &[id, entry] : m_targets) {
+        const bool isHeld = held.count(id) != 0;
+        if (isHeld && entry.releaseAt.has_value()) {
+            m_releases.erase({*entry.releaseAt, id});
+            entry.releaseAt.reset();
+        } else if (!isHeld && !entry.releaseAt.has_value()) {
+            entry.releaseAt = now + m_settings.releaseDelay;
+            m_releases.emplace(*entry.releaseAt, id);
         }
-        context.emit(limit_connections{entry->second.address, 0});
-        changed[entry->first] = 0;
-        m_schedule.erase({entry->second.nextPoll, entry->first});
-        entry = m_targets.erase(entry);
     }
 }
 
-void health_poller::onTick(reduce_context &context)
+std::map<server_id, std::uint32_t> health_poller::releaseDue(reduce_context &context)
+{
+    std::map<server_id, std::uint32_t> changed;
+    while (!m_releases.empty() && m_releases.begin()->first <= context.now) {
+        const server_id id = m_releases.begin()->second;
+        m_releases.erase(m_releases.begin());
+        const target &entry = m_targets.at(id);
+        context.emit(limit_connections{entry.address, 0});
+        changed[id] = 0;
+        m_schedule.erase({entry.nextPoll, id});
+        m_targets.erase(id);
+    }
+    return changed;
+}
+
+std::map<server_id, std::uint32_t> health_poller::onTick(reduce_context &context)
 {
     while (!m_schedule.empty() && m_schedule.begin()->first <= context.now) {
         const server_id id = m_schedule.begin()->second;
@@ -81,13 +94,17 @@
         entry.nextPoll = context.now + jittered(context);
         m_schedule.emplace(entry.nextPoll, id);
     }
+    return releaseDue(context);
 }
 
 std::optional<time_point> health_poller::nextDeadline() const
 {
-    if (m_schedule.empty())
-        return std::nullopt;
-    return m_schedule.begin()->first;
+    std::optional<time_point> earliest;
+    if (!m_schedule.empty())
+        earliest = m_schedule.begin()->first;
+    if (!m_releases.empty() && (!earliest.has_value() || m_releases.begin()->first < *earliest))
+        earliest = m_releases.begin()->first;
+    return earliest;
 }
 
 duration health_poller::jittered(reduce_context &context) const
