Limit the arrival time of requests; drop held requests on a crash

A caller could hold a connection for the idle timeout per byte. Requests that are being handled are not affected.

A frozen backend server that crashes closes the connections of the requests that it holds; before, their responders could still send status 500. Requests held during a freeze go on in their order.

--- a/src/http/evhttp_convert.cpp
+++ b/src/http/evhttp_convert.cpp
@@ -141,6 +141,8 @@
         return "Not Found";
     case 405:
         return "Method Not Allowed";
+    case 408:
+        return "Request Timeout";
     case 409:
         return "Conflict";
     case 412:
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -25,6 +25,8 @@
     std::size_t maxHeaderBytes = 16 * 1024;
     /// Time after which an idle or slow connection is closed. evhttp has one timeout for both.
     std::chrono::seconds idleTimeout{60};
+    /// Time in which a request that has begun must arrive whole; then it is answered with 408.
+    std::chrono::milliseconds requestTimeout{5000};
 
     bool operator==(const server_settings &) const = default;
 };
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -27,6 +27,14 @@
                                                           : socket_state::Closed;
 }
 
+/// A problem document as text, after which the connection closes.
+std::string closingResponse(const response &answer)
+{
+    return fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/problem+json\r\n"
+                       "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+                       answer.status, reasonPhrase(answer.status), answer.body.size(), answer.body);
+}
+
 /// Refusal that stands for an error page of evhttp.
 refusal toRefusal(int status, bool headerTooLarge)
 {
@@ -44,6 +52,7 @@
 server_connection::server_connection(server_core &core)
     : m_core(core), m_buffered(bufferevent_socket_new(core.base(), -1, 0)),
       m_attach(event_new(core.base(), -1, 0, onAttach, this)),
+      m_arrival(event_new(core.base(), -1, 0, onArrivalTimeout, this)),
       m_deferredClose(event_new(core.base(), -1, 0, onDeferredClose, this))
 {
     // Keeps the object valid until the close is noted, also when evhttp frees it first.
@@ -76,6 +85,7 @@
     m_current = std::make_shared<pending_request>();
     m_current->connection = this;
     m_current->received = received;
+    event_del(m_arrival.get());
     m_current->first = !std::exchange(m_used, true);
     // evhttp does not read while a request is handled and would not notice the peer's close.
     m_peerWatch.reset(event_new(m_core.base(), bufferevent_getfd(m_buffered), EV_READ | EV_CLOSED,
@@ -163,6 +173,7 @@
     connection->m_consumed = 0;
     connection->m_headerEnded = false;
     connection->findHeaderEnd(bufferevent_get_input(connection->m_buffered));
+    connection->watchArrival();
     // evhttp still uses the connection here.
     if (connection->m_core.isDraining())
         event_active(connection->m_deferredClose.get(), EV_TIMEOUT, 0);
@@ -201,8 +212,36 @@
 void server_connection::noteInput(evbuffer *buffer, const evbuffer_cb_info &change)
 {
     m_consumed += change.n_deleted;
-    if (change.n_added > 0)
-        findHeaderEnd(buffer);
+    if (change.n_added == 0)
+        return;
+    findHeaderEnd(buffer);
+    watchArrival();
+}
+
+void server_connection::watchArrival()
+{
+    const bool isArriving =
+        !m_current && !m_sending && evbuffer_get_length(bufferevent_get_input(m_buffered)) > 0;
+    if (!isArriving || event_pending(m_arrival.get(), EV_TIMEOUT, nullptr) != 0)
+        return;
+    constexpr int msPerSecond = 1000;
+    const auto limit = m_core.settings().requestTimeout.count();
+    const timeval after{limit / msPerSecond, limit % msPerSecond * msPerSecond};
+    event_add(m_arrival.get(), &after);
+}
+
+void server_connection::onArrivalTimeout(evutil_socket_t, short, void *self)
+{
+    auto *connection = static_cast<server_connection *>(self);
+    evhttp_connection *handle = connection->handle();
+    if (handle == nullptr || connection->m_current || connection->m_sending)
+        return;
+    // evhttp cannot answer a request that it has not read whole.
+    const std::string answer = closingResponse(
+        problemResponse({408, "request-timeout", "the request did not arrive whole in time"}));
+    ::send(bufferevent_getfd(connection->m_buffered), answer.data(), answer.size(),
+           MSG_NOSIGNAL | MSG_DONTWAIT);
+    evhttp_connection_free(handle);
 }
 
 void server_connection::findHeaderEnd(evbuffer *buffer)
@@ -243,14 +282,11 @@
     if (page.size() < statusOffset + pageEnd.size() || !page.ends_with(pageEnd))
         return;
     const int status = std::atoi(page.c_str() + statusOffset);
-    const response answer = problemResponse(toRefusal(status, isHeaderTooLarge()));
+    const std::string answer =
+        closingResponse(problemResponse(toRefusal(status, isHeaderTooLarge())));
     m_sending = true;
     evbuffer_drain(buffer, page.size());
-    evbuffer_add_printf(buffer,
-                        "HTTP/1.1 %d %s\r\nContent-Type: application/problem+json\r\n"
-                        "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-                        answer.status, reasonPhrase(answer.status).data(), answer.body.size());
-    evbuffer_add(buffer, answer.body.data(), answer.body.size());
+    evbuffer_add(buffer, answer.data(), answer.size());
 }
 
 } // namespace waxwing::http
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -48,6 +48,7 @@
     static void onClosed(evhttp_connection *handle, void *self);
     static void onSent(evhttp_request *sent, void *self);
     static void onReadable(evutil_socket_t socket, short what, void *self);
+    static void onArrivalTimeout(evutil_socket_t socket, short what, void *self);
     static void onDeferredClose(evutil_socket_t socket, short what, void *self);
     static void onInput(evbuffer *buffer, const evbuffer_cb_info *change, void *self);
     static void onOutput(evbuffer *buffer, const evbuffer_cb_info *change, void *self);
@@ -55,6 +56,7 @@
     void noteInput(evbuffer *buffer, const evbuffer_cb_info &change);
     void findHeaderEnd(evbuffer *buffer);
     void replaceErrorPage(evbuffer *buffer);
+    void watchArrival();
     bool isIdle() const;
     bool isHeaderTooLarge() const;
 
@@ -64,6 +66,7 @@
     evbuffer_cb_entry *m_outputWatch = nullptr;
     event_ptr m_attach;
     event_ptr m_peerWatch;
+    event_ptr m_arrival;
     event_ptr m_deferredClose;
     std::shared_ptr<pending_request> m_current;
     /// Whether a response of ours is being written, as opposed to one of evhttp.
--- a/src/standins/simulated_backend.cpp
+++ b/src/standins/simulated_backend.cpp
@@ -106,10 +106,16 @@
 void simulated_backend::setFaults(const backend_faults &faults)
 {
     m_faults = faults;
-    if (m_faults.freeze)
-        return;
-    for (auto &step : std::exchange(m_heldSteps, {}))
-        m_delayed.after(duration::zero(), std::move(step));
+    if (!m_faults.freeze)
+        thaw();
+}
+
+void simulated_backend::thaw()
+{
+    for (const auto &step : std::exchange(m_heldSteps, {}))
+        step();
+    for (const auto &[message, to] : std::exchange(m_heldRequests, {}))
+        receive(message, to);
 }
 
 void simulated_backend::crash()
@@ -140,6 +146,8 @@
 void simulated_backend::dropAll()
 {
     m_heldSteps.clear();
+    for (const auto &[message, to] : std::exchange(m_heldRequests, {}))
+        to->drop();
     while (!m_jobs.empty())
         remove(m_jobs.begin()->first).to->drop();
 }
@@ -171,7 +179,7 @@
         handle(message, to);
         return;
     }
-    m_heldSteps.emplace_back([this, message, to] { handle(message, to); });
+    m_heldRequests.emplace_back(message, to);
 }
 
 void simulated_backend::handle(const http::request &message, const shared_responder &to)
--- a/src/standins/simulated_backend.h
+++ b/src/standins/simulated_backend.h
@@ -121,6 +121,7 @@
     /// Takes a job out of slot, queue and timers.
     job remove(std::uint64_t number);
     void dropAll();
+    void thaw();
     /// Refusal of a request that was not run.
     void refuse(const shared_responder &to, const std::string &code);
     void refuseVersion(const job &refused);
@@ -148,7 +149,9 @@
     std::uint64_t m_nextJob = 1;
     std::map<std::uint64_t, job> m_jobs;
     std::deque<std::uint64_t> m_queue;
+    /// What waits for the end of `freeze`.
     std::vector<std::function<void()>> m_heldSteps;
+    std::vector<std::pair<http::request, shared_responder>> m_heldRequests;
     /// Reports of `/health` and `/load` that are repeated until they are too old.
     std::optional<http::response> m_health;
     std::optional<http::response> m_load;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(servesPipelinedRequestsInOrder);
     CPPUNIT_TEST(drainsWithoutCuttingRequests);
     CPPUNIT_TEST(dropsConnection);
+    CPPUNIT_TEST(limitsArrivalTime);
     CPPUNIT_TEST(failsOnAddressInUse);
     CPPUNIT_TEST_SUITE_END();
 
@@ -29,6 +30,7 @@
         server_settings settings;
         settings.maxBodyBytes = 1000;
         settings.maxHeaderBytes = 2000;
+        settings.requestTimeout = std::chrono::milliseconds(200);
         auto created =
             server::create(m_loop.base(), settings, [this](request message, responder to) {
                 m_requests.push_back(std::move(message));
@@ -215,6 +217,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_server->connections());
     }
 
+    /// Guards against callers that hold connections by sending a request slowly, and against a
+    /// limit that also ends requests that are being handled.
+    void limitsArrivalTime()
+    {
+        raw_connection handled(m_server->localEndpoint());
+        handled.write("GET / HTTP/1.1\r\n\r\n");
+        m_loop.runUntil([&] { return m_responders.size() == 1; });
+        raw_connection header(m_server->localEndpoint());
+        raw_connection body(m_server->localEndpoint());
+        header.write("GET / HTTP/1.1\r\nX: ");
+        body.write("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n1");
+        m_loop.runUntil([&] {
+            header.poll();
+            body.poll();
+            return header.closed && body.closed;
+        });
+        for (const std::string &answer : {header.received, body.received})
+            CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 408 Request Timeout\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->requestsInProgress());
+    }
+
     /// Guards against stand-ins that answer where they should lose the answer.
     void dropsConnection()
     {
--- a/tests/standins/backend_fleet_test.cpp
+++ b/tests/standins/backend_fleet_test.cpp
@@ -268,6 +268,10 @@
         CPPUNIT_ASSERT(!waiting->has_value());
         setFaults({{"freeze", false}});
         CPPUNIT_ASSERT_EQUAL(200, std::get<http::response>(m_client->wait(waiting)).status);
+        setFaults({{"freeze", true}});
+        const auto lost = m_client->start(at(), search("r2"));
+        setFaults({{"crash", true}});
+        CPPUNIT_ASSERT(std::holds_alternative<http::transport_failure>(m_client->wait(lost)));
     }
 
     /// Guards against health reports that are always true and fresh.
