Bound the crashes of a poison request over several hosts

The loss of a zone left 76 of 4000 searches without whole coverage, because the retry budget was used up.

Change: every host takes the canary servers of a request in the same order, and goes on where the known crashes left off. Requests that reach two crashes within 50 ms of each other need a third one, since only one of them can be the cause. Two hosts that report the same crash count it once.

--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -30,7 +30,7 @@
                                                                        time_point now) const
 {
     const suspect *known = find(fingerprint, now);
-    if (known == nullptr || known->crashes < m_settings.crashesToList)
+    if (known == nullptr || !isListed(*known))
         return std::nullopt;
     return std::chrono::ceil<std::chrono::milliseconds>(known->expires - now);
 }
@@ -45,6 +45,12 @@
     return find(fingerprint, now) != nullptr && !isKnownGood(fingerprint);
 }
 
+std::uint32_t request_quarantine::crashes(std::uint64_t fingerprint, time_point now) const
+{
+    const suspect *known = find(fingerprint, now);
+    return known == nullptr ? 0 : known->crashes;
+}
+
 bool request_quarantine::isAlert(const service_id &service, time_point now) const
 {
     const auto crash = m_lastCrash.find(service);
@@ -57,36 +63,33 @@
         return;
     const auto known = m_suspects.find(fingerprint);
     if (known != m_suspects.end()) {
-        if (known->second.crashes >= m_settings.crashesToList)
+        if (isListed(known->second))
             return;
         m_suspects.erase(known);
     }
     m_good.add(fingerprint, now);
 }
 
-bool request_quarantine::onConnectionLost(const service_id &service, std::uint64_t fingerprint,
+void request_quarantine::onConnectionLost(const service_id &service, std::uint64_t fingerprint,
                                           const server_id &server, time_point sent, time_point now)
 {
     m_lastCrash[service] = now;
     noteLoss(server, now);
     if (m_good.contains(fingerprint))
-        return false;
+        return;
     suspect *known = insert(fingerprint, now);
     if (known == nullptr)
-        return false;
+        return;
     known->servers.insert(server);
     // Losses of one wave are one crash at most: a lost zone breaks many connections at once.
-    const bool sameWave = known->crashes != 0 && sent < known->countedAt;
-    if (sameWave)
-        return known->crashes >= m_settings.crashesToList;
+    if (known->crashes != 0 && sent < known->countedAt)
+        return;
     if (known->crashes + 1 >= m_settings.crashesToList && isLostTogether(*known))
-        return false;
-    ++known->crashes;
-    known->countedAt = now;
+        return;
     known->expires = now + m_settings.listedFor;
+    raise(fingerprint, *known, known->crashes + 1, now);
     m_observations.push_back(
         {fmt::format("{:016x}", fingerprint), known->crashes, m_settings.listedFor});
-    return known->crashes >= m_settings.crashesToList;
 }
 
 void request_quarantine::onFact(const fact &heard, time_point now)
@@ -100,10 +103,37 @@
     known->expires = std::max(known->expires, now + std::min(heard.validFor, m_settings.listedFor));
     const auto crashes = static_cast<std::uint32_t>(std::min<std::uint64_t>(heard.value, 1000));
     // Two hosts may have seen the same crash, so their counts are not added up.
-    if (crashes <= known->crashes)
+    if (crashes > known->crashes)
+        raise(fingerprint, *known, crashes, now);
+}
+
+bool request_quarantine::isListed(const suspect &candidate) const
+{
+    return candidate.crashes >= m_settings.crashesToList + (candidate.contested ? 1 : 0);
+}
+
+void request_quarantine::raise(std::uint64_t fingerprint, suspect &known, std::uint32_t crashes,
+                               time_point now)
+{
+    known.crashes = crashes;
+    known.countedAt = now;
+    if (crashes < m_settings.crashesToList || known.reachedAt.has_value())
         return;
-    known->crashes = crashes;
-    known->countedAt = now;
+    known.reachedAt = now;
+    for (const std::uint64_t other : m_reached) {
+        const auto found = m_suspects.find(other);
+        if (found == m_suspects.end() || other == fingerprint
+            || !found->second.reachedAt.has_value()
+            || now - *found->second.reachedAt > m_settings.tieWindow)
+            continue;
+        found->second.contested = true;
+        known.contested = true;
+    }
+    m_reached.push_back(fingerprint);
+    // Requests that reached the count together come after each other; older ones do not matter.
+    constexpr std::size_t remembered = 64;
+    if (m_reached.size() > remembered)
+        m_reached.pop_front();
 }
 
 std::vector<request_quarantine::observation> request_quarantine::takeObservations()
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -22,6 +22,9 @@
 {
     /// Crashes after which a request is refused.
     std::uint32_t crashesToList = 2;
+    /// Requests that reach `crashesToList` within this time of each other ran on the same server,
+    /// perhaps on different hosts. Only one of them is the cause, so each needs one crash more.
+    std::chrono::milliseconds tieWindow{50};
     /// Time for which a request is refused and a crash is remembered.
     std::chrono::milliseconds listedFor{300000};
     /// Time after a crash in which unknown requests of the service wait for their canary shard.
@@ -52,14 +55,15 @@
     bool isKnownGood(std::uint64_t fingerprint) const;
     /// Whether the request was in progress on a server that was lost.
     bool isSuspect(std::uint64_t fingerprint, time_point now) const;
+    /// Crashes counted for the request so far.
+    std::uint32_t crashes(std::uint64_t fingerprint, time_point now) const;
     /// Whether the service had a crash recently.
     bool isAlert(const service_id &service, time_point now) const;
 
     /// A backend server answered the request, so it does not crash servers.
     void onAnswer(std::uint64_t fingerprint, time_point now);
-    /// The connection to `server` broke with the request in progress, sent at `sent`. Returns
-    /// whether the request is now listed.
-    bool onConnectionLost(const service_id &service, std::uint64_t fingerprint,
+    /// The connection to `server` broke with the request in progress, sent at `sent`.
+    void onConnectionLost(const service_id &service, std::uint64_t fingerprint,
                           const server_id &server, time_point sent, time_point now);
     /// Takes over a fact of another host.
     void onFact(const fact &heard, time_point now);
@@ -87,6 +91,10 @@
         time_point countedAt;
         time_point expires;
         std::set<server_id> servers;
+        /// When the count came to `crashesToList`.
+        std::optional<time_point> reachedAt;
+        /// Whether another request reached it at the same time.
+        bool contested = false;
     };
     struct server_loss
     {
@@ -97,6 +105,8 @@
     const suspect *find(std::uint64_t fingerprint, time_point now) const;
     suspect *insert(std::uint64_t fingerprint, time_point now);
     void noteLoss(const server_id &server, time_point now);
+    bool isListed(const suspect &candidate) const;
+    void raise(std::uint64_t fingerprint, suspect &known, std::uint32_t crashes, time_point now);
     bool isLostTogether(const suspect &candidate) const;
 
     quarantine_settings m_settings;
@@ -104,6 +114,8 @@
     std::map<std::uint64_t, suspect> m_suspects;
     std::map<service_id, time_point> m_lastCrash;
     std::deque<server_loss> m_losses;
+    /// Requests that came to `crashesToList` last, oldest first.
+    std::deque<std::uint64_t> m_reached;
     std::vector<observation> m_observations;
 };
 
--- a/src/query/canary_policy.cpp
+++ b/src/query/canary_policy.cpp
@@ -34,10 +34,15 @@
 void canary_policy::begin(search_work &work, running_search &search)
 {
     search.canary.reset();
-    if (search.shards.size() < 2 || work.environment.quarantine.isKnownGood(search.fingerprint))
+    const request_quarantine &quarantine = work.environment.quarantine;
+    if (quarantine.isKnownGood(search.fingerprint))
         return;
     search.canary.emplace();
-    search.canary->shard = search.fingerprint % search.shards.size();
+    // A host that heard of crashes goes on where the others are.
+    search.canary->step = quarantine.crashes(search.fingerprint, work.context.now);
+    search.canary->shard = (search.fingerprint + search.canary->step) % search.shards.size();
+    if (search.canary->step != 0)
+        search.canary->avoided = firstZone(work, search);
     search.canary->until = waitEnd(work, search);
 }
 
@@ -50,6 +55,9 @@
     backend_pool &backends = work.environment.backends;
     const bool suspect =
         work.environment.quarantine.isSuspect(search.fingerprint, work.context.now);
+    // One attempt at a time, so that copies of a request do not crash one server each.
+    if (suspect && work.state.suspectRequests.contains(search.fingerprint))
+        return std::nullopt;
     const auto ranked = rankedReplicas(part.replicas, search.fingerprint);
     // First pass: healthy servers outside the avoided zone; then the zone; then ejected ones.
     for (int pass = 0; pass < 3; ++pass) {
@@ -62,7 +70,7 @@
             // One suspect on a server at a time, so that a crash shows which one it was.
             if (suspect && work.state.suspects.contains(server))
                 continue;
-            const auto chosen =
+            auto chosen =
                 backends.choose(search.target->id, part.id, {server}, progress.tried, search.at,
                                 work.context.now, work.context.wall, work.context.random);
             if (chosen.has_value())
@@ -72,19 +80,16 @@
     return std::nullopt;
 }
 
-bool canary_policy::moveOn(search_work &work, running_search &search,
-                           const std::optional<server_id> &lost)
+bool canary_policy::moveOn(search_work &work, running_search &search, time_point notBefore)
 {
-    const std::size_t previous = search.canary.has_value() ? search.canary->shard : 0;
     canary_progress next;
-    next.until = waitEnd(work, search);
-    if (lost.has_value()) {
-        const zone_id *zone = work.environment.backends.zoneOf(*lost);
-        if (zone != nullptr)
-            next.avoided = *zone;
-    }
-    for (std::size_t step = 1; step <= search.shards.size(); ++step) {
-        next.shard = (previous + step) % search.shards.size();
+    next.step = search.canary.has_value() ? search.canary->step : 0;
+    next.avoided = firstZone(work, search);
+    next.notBefore = notBefore;
+    next.until = std::max(waitEnd(work, search), notBefore);
+    for (std::size_t tries = 0; tries < search.shards.size(); ++tries) {
+        ++next.step;
+        next.shard = (search.fingerprint + next.step) % search.shards.size();
         if (!isUndecided(search.shards[next.shard]))
             continue;
         search.canary = next;
@@ -94,6 +99,18 @@
     return false;
 }
 
+std::optional<zone_id> canary_policy::firstZone(const search_work &work,
+                                                const running_search &search)
+{
+    const shard &part = search.parts->shards[search.fingerprint % search.shards.size()];
+    const auto ranked = rankedReplicas(part.replicas, search.fingerprint);
+    const zone_id *zone =
+        ranked.empty() ? nullptr : work.environment.backends.zoneOf(ranked.front());
+    if (zone == nullptr)
+        return std::nullopt;
+    return *zone;
+}
+
 time_point canary_policy::waitEnd(const search_work &work, const running_search &search)
 {
     const auto &quarantine = work.environment.quarantine;
--- a/src/query/canary_policy.h
+++ b/src/query/canary_policy.h
@@ -19,12 +19,12 @@
     /// Server for the canary shard; empty if none may get the request now.
     static std::optional<server_id> chooseServer(const search_work &work,
                                                  const running_search &search);
-    /// Moves the canary to another shard that can still be sent, away from the zone of `lost`.
-    /// Returns false if there is none.
-    static bool moveOn(search_work &work, running_search &search,
-                       const std::optional<server_id> &lost);
+    /// Moves the canary to the next shard that can still be sent, not before `notBefore`. Returns
+    /// false if there is none.
+    static bool moveOn(search_work &work, running_search &search, time_point notBefore);
 
 private:
+    static std::optional<zone_id> firstZone(const search_work &work, const running_search &search);
     static time_point waitEnd(const search_work &work, const running_search &search);
 };
 
--- a/src/query/fan_out.cpp
+++ b/src/query/fan_out.cpp
@@ -49,6 +49,10 @@
     // A host that was paused may find the deadline passed.
     if (m_work.context.now >= m_search.deadline)
         return;
+    if (m_search.canary.has_value() && m_work.context.now < m_search.canary->notBefore) {
+        m_search.wakeAt = m_search.canary->notBefore;
+        return;
+    }
     // A canary shard without any replica is lost, and the next one takes its place.
     while (m_search.canary.has_value()) {
         const std::size_t index = m_search.canary->shard;
@@ -56,7 +60,7 @@
             sendShard(index);
         if (m_search.shards[index].step != step_kind::Lost)
             break;
-        canary_policy::moveOn(m_work, m_search, std::nullopt);
+        canary_policy::moveOn(m_work, m_search, m_work.context.now);
     }
     if (!m_search.canary.has_value()) {
         for (std::size_t i = 0; i < m_search.shards.size(); ++i)
@@ -110,10 +114,12 @@
         backends.onHeld(attempt.server, m_search.target->id, m_search.parts->shards[index].id,
                         failure.held, now);
     if (failure.error == leaf_error::ConnectionLost) {
-        const failure_effect crash = onCrash(index, attempt);
-        if (crash != failure_effect::None)
-            return crash;
+        m_work.context.emit(count_metric{"leaf_connections_lost_total", 1});
+        m_work.environment.quarantine.onConnectionLost(m_search.target->id, m_search.fingerprint,
+                                                       attempt.server, attempt.sent, now);
     }
+    if (needsNextCanary(index, failure.error))
+        return tryNextCanary(index);
     if (!progress.attempts.empty() || progress.step != step_kind::InProgress)
         return failure_effect::None;
     if (!mayChooseLater(index))
@@ -125,34 +131,37 @@
     }
     m_work.context.emit(count_metric{"retries_total", 1});
     progress.step = step_kind::Unsent;
-    progress.hedged = false;
+    progress.hedges = 0;
     sendUnsent();
     return failure_effect::None;
 }
 
-failure_effect fan_out::onCrash(std::size_t index, const leaf_attempt &attempt)
+bool fan_out::needsNextCanary(std::size_t index, leaf_error error) const
 {
-    request_quarantine &quarantine = m_work.environment.quarantine;
-    m_work.context.emit(count_metric{"leaf_connections_lost_total", 1});
-    if (quarantine.onConnectionLost(m_search.target->id, m_search.fingerprint, attempt.server,
-                                    attempt.sent, m_work.context.now))
-        return failure_effect::Quarantined;
-    if (isKnownGood())
-        return failure_effect::None;
-    // Not answered by any server yet: the shards that are not in progress wait for a new canary,
-    // which is another shard, so that no shard loses all its replicas to one request.
+    if (m_work.environment.quarantine.isKnownGood(m_search.fingerprint))
+        return false;
+    if (error == leaf_error::ConnectionLost)
+        return true;
+    // A server that cannot be reached may have been crashed by a copy on another host.
+    return error == leaf_error::NotConnected && m_search.canary.has_value()
+        && m_search.canary->shard == index;
+}
+
+failure_effect fan_out::tryNextCanary(std::size_t index)
+{
+    // The shards that are not in progress wait for the new canary, which is another shard, so that
+    // no shard loses all its replicas to one request.
     shard_progress &progress = m_search.shards[index];
     if (progress.attempts.empty() && progress.step == step_kind::InProgress) {
         if (!m_search.pace->retries.spend())
             return failure_effect::Suspected;
         m_work.context.emit(count_metric{"retries_total", 1});
         progress.step = step_kind::Unsent;
-        progress.hedged = false;
+        progress.hedges = 0;
     }
     if (!m_search.canary.has_value() || m_search.canary->shard == index) {
-        if (!m_search.canary.has_value())
-            m_search.canary.emplace().shard = index;
-        if (!canary_policy::moveOn(m_work, m_search, attempt.server))
+        const time_point next = m_work.context.now + m_work.state.settings.canaryPause;
+        if (!canary_policy::moveOn(m_work, m_search, next))
             return failure_effect::Suspected;
     }
     sendUnsent();
@@ -179,11 +188,12 @@
     m_search.nextHedge.reset();
     for (std::size_t i = 0; i < m_search.shards.size(); ++i) {
         const shard_progress &progress = m_search.shards[i];
-        if (progress.step != step_kind::InProgress || progress.hedged)
+        if (progress.step != step_kind::InProgress
+            || progress.hedges >= m_work.state.settings.hedgesPerShard)
             continue;
         if (progress.hedgeAt <= now)
             hedge(i);
-        else
+        if (progress.hedgeAt > now)
             lowerTo(m_search.nextHedge, progress.hedgeAt);
     }
 }
@@ -191,14 +201,17 @@
 void fan_out::hedge(std::size_t index)
 {
     shard_progress &progress = m_search.shards[index];
-    progress.hedged = true;
-    const shard &part = m_search.parts->shards[index];
-    const auto &quarantine = m_work.environment.quarantine;
-    if (quarantine.isSuspect(m_search.fingerprint, m_work.context.now))
+    ++progress.hedges;
+    progress.hedgeAt = m_work.context.now + hedgeDelay();
+    if (m_work.environment.quarantine.isSuspect(m_search.fingerprint, m_work.context.now))
         return;
+    const shard &part = m_search.parts->shards[index];
+    // The second hedge may go to a server that has the request already: where single replies are
+    // slow rather than servers, a new one is most likely not.
+    static const std::vector<server_id> none;
     const auto server = m_work.environment.backends.choose(
-        m_search.target->id, part.id, part.replicas, progress.tried, m_search.at,
-        m_work.context.now, m_work.context.wall, m_work.context.random);
+        m_search.target->id, part.id, part.replicas, progress.hedges == 1 ? progress.tried : none,
+        m_search.at, m_work.context.now, m_work.context.wall, m_work.context.random);
     if (!server.has_value() || !m_search.pace->hedges.spend())
         return;
     m_work.context.emit(count_metric{"hedges_total", 1});
@@ -251,7 +264,9 @@
         send(index, *server);
         ++m_sent;
     } else if (waits || mayChooseLater(index)) {
-        joinQueue(index);
+        // A canary may wait for another request rather than for a free replica.
+        if (!m_search.canary.has_value())
+            joinQueue(index);
         lowerTo(m_search.wakeAt, m_work.context.now + m_work.state.settings.limitPause);
     } else {
         lose(index);
@@ -327,8 +342,10 @@
     attempt.sent = context.now;
     attempt.trace = search_trace::childOf(m_search.trace, context.random);
     attempt.suspect = m_work.environment.quarantine.isSuspect(m_search.fingerprint, context.now);
-    if (attempt.suspect)
+    if (attempt.suspect) {
         ++m_work.state.suspects[server];
+        ++m_work.state.suspectRequests[m_search.fingerprint];
+    }
     const auto left =
         std::max(std::chrono::floor<std::chrono::milliseconds>(m_search.deadline - context.now),
                  std::chrono::milliseconds(1));
@@ -392,9 +409,4 @@
                                                       m_work.context.wall);
 }
 
-bool fan_out::isKnownGood() const
-{
-    return m_work.environment.quarantine.isKnownGood(m_search.fingerprint);
-}
-
 } // namespace waxwing
--- a/src/query/fan_out.h
+++ b/src/query/fan_out.h
@@ -12,8 +12,6 @@
     None,
     /// A shard does not hold the snapshot on any replica.
     SnapshotMissing,
-    /// The request is quarantined now.
-    Quarantined,
     /// The request is suspected of a crash and may not be tried again.
     Suspected,
 };
@@ -59,12 +57,12 @@
     void send(std::size_t index, const server_id &server);
     void lose(std::size_t index);
     void abandon(std::size_t index, bool outpaced);
-    failure_effect onCrash(std::size_t index, const leaf_attempt &attempt);
+    failure_effect tryNextCanary(std::size_t index);
+    bool needsNextCanary(std::size_t index, leaf_error error) const;
     failure_effect onNoReplica(std::size_t index, bool notHeld);
     void hedge(std::size_t index);
     duration hedgeDelay() const;
     bool mayChooseLater(std::size_t index) const;
-    bool isKnownGood() const;
 
     search_work &m_work;
     running_search &m_search;
--- a/src/query/query_reducer.cpp
+++ b/src/query/query_reducer.cpp
@@ -35,7 +35,7 @@
 struct query_reducer::state : query_state
 {
     state(query_settings initial, admission_settings limits)
-        : query_state{initial, admission_control(limits), {}, {}, {}, {}, {}, {}, {}, {}}
+        : query_state{initial, admission_control(limits), {}, {}, {}, {}, {}, {}, {}, {}, {}}
     { }
 
     /// The search, or null.
@@ -90,7 +90,10 @@
     search->target = environment.document->findService(received.request.service);
     search->deadline = context.now + timeLeft(received.request, search->target->policy, settings);
     search->trace = search_trace::childOf(received.request.trace, context.random);
-    search->pace = &paces.try_emplace(search->target->id, settings).first->second;
+    std::size_t shards = 0;
+    for (const partitioning &parts : search->target->partitionings)
+        shards = std::max(shards, parts.shards.size());
+    search->pace = &paces.try_emplace(search->target->id, settings, shards).first->second;
     search->fingerprint = requestFingerprint(search->target->id, received.request.query);
     return *(searches[received.id.value] = std::move(search));
 }
--- a/src/query/query_state.h
+++ b/src/query/query_state.h
@@ -62,6 +62,8 @@
     shard_queue queue;
     /// Suspected requests in progress on each server.
     std::map<server_id, std::uint32_t> suspects;
+    /// Attempts in progress of each suspected request.
+    std::map<std::uint64_t, std::uint32_t> suspectRequests;
 };
 
 /// What handling one event works with. Lives as long as the event.
--- a/src/query/running_search.h
+++ b/src/query/running_search.h
@@ -53,8 +53,8 @@
     std::vector<server_id> tried;
     /// When another replica is asked too.
     time_point hedgeAt;
-    /// Whether that was considered.
-    bool hedged = false;
+    /// Times that this was considered.
+    std::uint32_t hedges = 0;
     /// Whether the shard waits in the queue for a free replica.
     bool queued = false;
 };
@@ -62,11 +62,16 @@
 /// First shard of a request that is not known to be good; the others wait for it.
 struct canary_progress
 {
+    /// Position in the order of servers that every host has for the request.
+    std::size_t step = 0;
     /// Index of the shard.
     std::size_t shard = 0;
+    /// When the shard is sent at the earliest. After a failure the facts of other hosts are waited
+    /// for first.
+    time_point notBefore;
     /// When the others stop waiting.
     time_point until;
-    /// Zone that the server is not taken from if there is another; that of a lost server.
+    /// Zone that the server is not taken from if there is another: that of the first step.
     std::optional<zone_id> avoided;
 };
 
--- a/src/query/search_progress.cpp
+++ b/src/query/search_progress.cpp
@@ -44,7 +44,7 @@
     });
     const leaf_attempt attempt = std::move(*found);
     attempts.erase(found);
-    releaseSuspect(work, attempt);
+    releaseSuspect(work, attempt, search.fingerprint);
     search_trace::record(work.context, "leaf_search", attempt.trace, search.trace.span,
                          attempt.sent, {{"server", attempt.server.value}});
     fan_out requests(work, search);
@@ -69,7 +69,7 @@
 {
     const leaf_attempt &attempt = abandoned.attempt;
     const time_point now = work.context.now;
-    releaseSuspect(work, attempt);
+    releaseSuspect(work, attempt, abandoned.fingerprint);
     const auto *failure = std::get_if<leaf_failure>(&outcome);
     const bool lost = failure != nullptr && failure->error == leaf_error::ConnectionLost;
     if (!lost) {
@@ -106,7 +106,7 @@
         search_ending::conclude(work, search);
         return;
     }
-    if (!onCanaryDue(work, search))
+    if (refuseIfListed(work, search) || !onCanaryDue(work, search))
         return;
     fan_out requests(work, search);
     if (search.wakeAt.has_value() && *search.wakeAt <= work.context.now)
@@ -115,6 +115,18 @@
     advance(work, search);
 }
 
+bool search_progress::refuseIfListed(search_work &work, running_search &search)
+{
+    if (!search.canary.has_value())
+        return false;
+    const auto listed = work.environment.quarantine.listedFor(search.fingerprint, work.context.now);
+    if (!listed.has_value())
+        return false;
+    search_ending::refuse(work, search,
+                          query_refusal::quarantined(execution_state::NotRun, *listed));
+    return true;
+}
+
 bool search_progress::onCanaryDue(search_work &work, running_search &search)
 {
     if (!search.canary.has_value() || search.canary->until > work.context.now)
@@ -183,14 +195,6 @@
     switch (consequence) {
     case failure_effect::None:
         return true;
-    case failure_effect::Quarantined: {
-        const auto listed =
-            work.environment.quarantine.listedFor(search.fingerprint, work.context.now);
-        search_ending::refuse(work, search,
-                              query_refusal::quarantined(execution_state::OutcomeUnknown,
-                                                         listed.value_or(retryAfter)));
-        return false;
-    }
     case failure_effect::Suspected:
         search_ending::refuse(work, search, query_refusal::suspected(retryAfter));
         return false;
@@ -220,13 +224,17 @@
     return work.context.now >= *search.earlyAt;
 }
 
-void search_progress::releaseSuspect(search_work &work, const leaf_attempt &attempt)
+void search_progress::releaseSuspect(search_work &work, const leaf_attempt &attempt,
+                                     std::uint64_t fingerprint)
 {
     if (!attempt.suspect)
         return;
-    const auto counted = work.state.suspects.find(attempt.server);
-    if (counted != work.state.suspects.end() && --counted->second == 0)
-        work.state.suspects.erase(counted);
+    const auto server = work.state.suspects.find(attempt.server);
+    if (server != work.state.suspects.end() && --server->second == 0)
+        work.state.suspects.erase(server);
+    const auto request = work.state.suspectRequests.find(fingerprint);
+    if (request != work.state.suspectRequests.end() && --request->second == 0)
+        work.state.suspectRequests.erase(request);
 }
 
 void search_progress::setTimer(search_work &work, running_search &search)
--- a/src/query/search_progress.h
+++ b/src/query/search_progress.h
@@ -35,7 +35,9 @@
     static bool onFailureEffect(search_work &work, running_search &search, std::size_t index,
                                 failure_effect consequence);
     static bool isEarlyEnough(const search_work &work, running_search &search);
-    static void releaseSuspect(search_work &work, const leaf_attempt &attempt);
+    static void releaseSuspect(search_work &work, const leaf_attempt &attempt,
+                               std::uint64_t fingerprint);
+    static bool refuseIfListed(search_work &work, running_search &search);
     static bool onCanaryDue(search_work &work, running_search &search);
 };
 
--- a/src/query/service_pace.h
+++ b/src/query/service_pace.h
@@ -4,15 +4,21 @@
 #include "query/leaf_latency.h"
 #include "query/query_settings.h"
 
+#include <algorithm>
+#include <cstddef>
+
 namespace waxwing {
 
 /// Latency of a service's backend servers, and the extra requests that it may send.
 struct service_pace
 {
-    /// Starts without samples and with full budgets.
-    explicit service_pace(const query_settings &settings)
-        : hedges(settings.budgetBurst), retries(settings.budgetBurst), slow(settings.hedgeQuantile),
-          usual(0.5)
+    /// Starts without samples and with full budgets for a service of `shards` shards.
+    service_pace(const query_settings &settings, std::size_t shards)
+        : hedges(std::max(settings.budgetBurst,
+                          settings.hedgeBurstPerShard * static_cast<double>(shards))),
+          retries(std::max(settings.budgetBurst,
+                           settings.retryBurstPerShard * static_cast<double>(shards))),
+          slow(settings.hedgeQuantile), usual(0.5)
     { }
 
     /// Hedges.
--- /dev/null
+++ b/tests/quarantine/request_quarantine_test.cpp
@@ -0,0 +1,208 @@
+#include "query/query_simulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <iostream>
+
+namespace waxwing {
+namespace {
+
+using namespace std::chrono_literals;
+
+const refusal *refusalOf(const query_simulation::result &result)
+{
+    return std::get_if<refusal>(&result.outcome);
+}
+
+bool isListed(const query_simulation &sim, std::size_t host, const std::string &query)
+{
+    return sim.hosts[host]
+        ->quarantine.listedFor(requestFingerprint({"desk"}, query), sim.now)
+        .has_value();
+}
+
+} // namespace
+
+class request_quarantine_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(request_quarantine_test);
+    CPPUNIT_TEST(boundsCrashesOfRepeatedPoison);
+    CPPUNIT_TEST(boundsCrashesOfSimultaneousPoison);
+    CPPUNIT_TEST(boundsCrashesUnderTrafficWithoutListingBystanders);
+    CPPUNIT_TEST(refusesListedRequestsUntilTheyExpire);
+    CPPUNIT_TEST(listsNobodyWhenAZoneIsLost);
+    CPPUNIT_TEST(countsOneCrashSeenByTwoHostsOnce);
+    CPPUNIT_TEST(limitsTheCostOfTheFirstWave);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a caller that takes down the service by sending its request again.
+    void boundsCrashesOfRepeatedPoison()
+    {
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+            query_simulation sim(8, 2, seed, 7);
+            sim.warmUp(5);
+            sim.poison = "poison";
+            for (int i = 0; i < 20; ++i) {
+                const auto result = sim.search("poison", static_cast<std::size_t>(i % 7));
+                CPPUNIT_ASSERT(refusalOf(result) != nullptr);
+                CPPUNIT_ASSERT(refusalOf(result)->retryAfter >= 1s);
+                CPPUNIT_ASSERT_MESSAGE("answered at once", result.latency < 200ms);
+                sim.runFor(std::chrono::milliseconds(seed * 10));
+            }
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ": "
+                                       + std::to_string(sim.totalCrashes()) + " crashes",
+                                   sim.totalCrashes() <= 3);
+        }
+    }
+
+    /// Guards against copies that crash a server for each host before the hosts know.
+    void boundsCrashesOfSimultaneousPoison()
+    {
+        int most = 0;
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+            query_simulation sim(8, 2, seed, 7);
+            sim.warmUp(5);
+            sim.poison = "poison-" + std::to_string(seed);
+            random_engine random(seed);
+            for (int i = 0; i < 20; ++i) {
+                sim.start(sim.poison, random(7));
+                sim.runFor(std::chrono::microseconds(random(seed % 2 == 0 ? 100 : 4000)));
+            }
+            sim.runFor(2s);
+            most = std::max(most, sim.totalCrashes());
+        }
+        std::cout << " at most " << most << " crashes in 50 seeds ";
+        CPPUNIT_ASSERT(most <= 3);
+    }
+
+    /// Guards against requests that are refused because they ran next to a poison request.
+    void boundsCrashesUnderTrafficWithoutListingBystanders()
+    {
+        int most = 0;
+        int refused = 0;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            query_simulation sim(8, 2, seed, 3);
+            sim.warmUp(50);
+            sim.poison = "poison-" + std::to_string(seed);
+            random_engine random(seed);
+            std::vector<std::string> bystanders;
+            for (int i = 0; i < 300; ++i) {
+                bystanders.push_back("fresh-" + std::to_string(i));
+                sim.start(bystanders.back(), random(3));
+                if (i >= 100 && i < 120)
+                    sim.start(sim.poison, random(3));
+                sim.runFor(std::chrono::microseconds(random(4000)));
+            }
+            sim.runFor(2s);
+            most = std::max(most, sim.totalCrashes());
+            for (const auto &query : bystanders)
+                for (std::size_t host = 0; host < 3; ++host)
+                    refused += isListed(sim, host, query) ? 1 : 0;
+        }
+        std::cout << " at most " << most << " crashes, bystanders listed " << refused << " ";
+        CPPUNIT_ASSERT(most <= 3);
+        CPPUNIT_ASSERT_EQUAL(0, refused);
+    }
+
+    /// Guards against refused requests that are held, and entries that stay for ever.
+    void refusesListedRequestsUntilTheyExpire()
+    {
+        query_simulation sim(8, 2, 1, 2);
+        sim.warmUp(5);
+        sim.poison = "poison";
+        sim.search("poison", 0);
+        sim.search("poison", 1);
+        sim.runFor(100ms);
+        const auto sent = sim.sent;
+        const auto result = sim.search("poison", 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("quarantined"), refusalOf(result)->code);
+        CPPUNIT_ASSERT(refusalOf(result)->execution == execution_state::NotRun);
+        CPPUNIT_ASSERT(refusalOf(result)->retryAfter > 290s);
+        CPPUNIT_ASSERT_EQUAL(0LL, static_cast<long long>(result.latency.count()));
+        CPPUNIT_ASSERT_EQUAL(sent, sim.sent);
+        sim.poison.clear();
+        sim.runFor(301s);
+        CPPUNIT_ASSERT(refusalOf(sim.search("poison", 1)) == nullptr);
+    }
+
+    /// Guards against an outage of a zone that makes hosts refuse what was in progress.
+    void listsNobodyWhenAZoneIsLost()
+    {
+        int listed = 0;
+        int lost = 0;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            query_simulation sim(8, 2, seed, 2);
+            sim.warmUp(50);
+            random_engine random(seed);
+            std::vector<std::uint64_t> ids;
+            for (int i = 0; i < 200; ++i) {
+                if (i == 100)
+                    for (int s = 0; s < 8; ++s)
+                        sim.after(std::chrono::microseconds(random(20000)), [&sim, s] {
+                            sim.crash({"leaf-10" + std::to_string(s) + "-0"}, 1h);
+                        });
+                ids.push_back(sim.start("fresh-" + std::to_string(i), random(2)));
+                sim.runFor(std::chrono::microseconds(random(3000)));
+            }
+            sim.runFor(2s);
+            for (int i = 0; i < 200; ++i)
+                for (std::size_t host = 0; host < 2; ++host)
+                    listed += isListed(sim, host, "fresh-" + std::to_string(i)) ? 1 : 0;
+            for (const auto id : ids) {
+                const auto *answer = std::get_if<search_answer>(&sim.results.at(id).outcome);
+                lost += answer == nullptr || !answer->coverage.isWhole() ? 1 : 0;
+            }
+        }
+        std::cout << " listed " << listed << ", not whole " << lost << " of 4000 ";
+        CPPUNIT_ASSERT_EQUAL(0, listed);
+        CPPUNIT_ASSERT_EQUAL(0, lost);
+    }
+
+    /// Guards against a request that is listed after one crash that two hosts report.
+    void countsOneCrashSeenByTwoHostsOnce()
+    {
+        request_quarantine quarantine({});
+        const time_point now{1h};
+        const auto print = requestFingerprint({"desk"}, "q");
+        quarantine.onConnectionLost({"desk"}, print, {"a"}, now - 5ms, now);
+        const auto seen = quarantine.takeObservations();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, seen.size());
+        const fact other{fact_kind::RequestQuarantined, seen[0].subject, {"other"}, 1, 1, 300s};
+        quarantine.onFact(other, now + 1ms);
+        quarantine.onConnectionLost({"desk"}, print, {"b"}, now - 2ms, now + 2ms);
+        CPPUNIT_ASSERT(!quarantine.listedFor(print, now + 3ms).has_value());
+        quarantine.onConnectionLost({"desk"}, print, {"c"}, now + 3ms, now + 6ms);
+        CPPUNIT_ASSERT(quarantine.listedFor(print, now + 7ms).has_value());
+    }
+
+    /// Guards against a first wave that takes more than one usual leaf latency; prints the cost.
+    void limitsTheCostOfTheFirstWave()
+    {
+        query_simulation sim(130, 2, 1);
+        sim.warmUp(100);
+        // One reply in a hundred takes ten times as long.
+        for (auto &[id, leaf] : sim.leaves)
+            leaf.latency = [](random_engine &random) {
+                const auto usual = std::chrono::microseconds(4000 + random(2000));
+                return random(100) == 0 ? usual * 10 : usual;
+            };
+        std::vector<duration> known;
+        std::vector<duration> fresh;
+        for (int i = 0; i < 1000; ++i) {
+            known.push_back(sim.search("warm-" + std::to_string(i % 100)).latency);
+            fresh.push_back(sim.search("fresh-" + std::to_string(i)).latency);
+        }
+        for (auto *list : {&known, &fresh}) {
+            std::sort(list->begin(), list->end());
+            std::cout << (list == &known ? " known" : " fresh") << " p50 " << (*list)[500] / 1us
+                      << " us p99 " << (*list)[990] / 1us << " us";
+        }
+        CPPUNIT_ASSERT(fresh[500] - known[500] < 8ms);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_quarantine_test);
+
+} // namespace waxwing
