Run commands at most once by claims in the platform

A try that sent nothing records "not-run" in its claim, so that a later try may take it by a conditional update; the same write makes a late create or update of the try fail. Before anything is sent the deadline is compared with the time of the event. Results that come after the answer to the caller are still recorded.

Checked by tests/command: replay with two platform writes for each command, refusal at once while the platform is down, nothing sent after a pause beyond the deadline, late results, retries after "not run" and after lost answers, forwarding.

--- /dev/null
+++ b/src/command/command_progress.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "command/command_state.h"
+#include "events/reduce_context.h"
+
+namespace waxwing {
+
+/// Steps of one command. Lives as long as the event.
+class command_progress
+{
+public:
+    command_progress(reduce_context &context, command_reducer_state &state, request_id id);
+
+    /// Passes the command to a holder of the service; refuses it if none is known.
+    void forward(const command_environment &environment);
+    /// Claims the command.
+    void claim(const member &self);
+    /// Handles the platform's answer about the claim.
+    void onPlatform(command_environment &environment, const platform_result &result);
+    /// Handles the reply of the backend server.
+    void onLeaf(command_environment &environment, const leaf_command_finished &finished);
+    /// Handles the end of a forwarded command.
+    void onForwarded(const forwarded_command_finished &finished);
+    /// Handles the caller's deadline or the next write of the end.
+    void onDue();
+
+private:
+    void onClaim(command_environment &environment, const claim_step &step);
+    void onEnded(const claim_step &step);
+    void send(command_environment &environment);
+    void onLeafFailure(command_environment &environment, const leaf_failure &failure);
+    void release();
+    void callPlatform(platform_call call);
+    void answer(const command_outcome &outcome);
+    void erase();
+    std::chrono::milliseconds timeLeft() const;
+
+    reduce_context &m_context;
+    command_reducer_state &m_state;
+    request_id m_id;
+    running_command &m_command;
+};
+
+} // namespace waxwing
--- a/src/command/command_reducer.h
+++ b/src/command/command_reducer.h
@@ -12,6 +12,8 @@
 
 namespace waxwing {
 
+struct command_reducer_state;
+
 /// Limits of `command_reducer`.
 struct command_settings
 {
@@ -21,6 +23,16 @@
     std::chrono::milliseconds claimTimeout{500};
     /// When a caller is told to come back after an unknown outcome or a platform outage.
     std::chrono::milliseconds retryAfter{2000};
+    /// Backend servers that are tried where no connection could be made and nothing was sent.
+    std::uint32_t maxConnectTries = 3;
+    /// Time for the platform's answer when the end of a command is recorded.
+    std::chrono::milliseconds recordTimeout{2000};
+    /// Pause after a failed write of the end; doubled with each further failure.
+    std::chrono::milliseconds recordPause{500};
+    /// Longest pause.
+    std::chrono::milliseconds longestRecordPause{30000};
+    /// Writes of the end after which the claim is left as it is, about five minutes.
+    std::uint32_t maxRecordTries = 16;
 
     bool operator==(const command_settings &) const = default;
 };
@@ -70,8 +82,7 @@
     std::size_t inProgress() const;
 
 private:
-    struct state;
-    std::unique_ptr<state> m_state;
+    std::unique_ptr<command_reducer_state> m_state;
 };
 
 } // namespace waxwing
