--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -15,8 +15,9 @@
 {
     /// Members of each zone that watch the platform.
     std::uint32_t watchersPerZone = 2;
-    /// Longest wait of one watch call.
-    std::chrono::milliseconds watchTime{30000};
+    /// Longest wait of one watch call. Below the 5 s in which hosts agree on an accepted change,
+    /// because a watch whose answer is lost ends no sooner.
+    std::chrono::milliseconds watchTime{3000};
     /// Pause after a failed call; doubled with each further failure, with jitter.
     std::chrono::milliseconds retryPause{500};
     /// Longest pause. Below the 5 s in which hosts agree on an accepted change, because a watcher
