--- a/src/http/client_core.cpp
+++ b/src/http/client_core.cpp
@@ -6,7 +6,9 @@
 
 client_core::client_core(event_base *base, const client_settings &settings)
     : m_base(base), m_settings(settings), m_leftover(event_new(base, -1, 0, onLeftover, this))
-{ }
+{
+    ignoreBrokenPipes();
+}
 
 client_core::pool &client_core::poolOf(const endpoint &peer)
 {
--- a/src/http/event_ptr.h
+++ b/src/http/event_ptr.h
@@ -3,10 +3,18 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 
+#include <csignal>
 #include <memory>
 
 namespace waxwing::http {
 
+/// Makes writes to a connection that the peer has closed fail instead of ending the process.
+/// libevent writes without MSG_NOSIGNAL, so the signal is ignored in the whole process.
+inline void ignoreBrokenPipes()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
 /// Frees an `event`.
 struct event_deleter
 {
--- a/src/http/server_core.cpp
+++ b/src/http/server_core.cpp
@@ -27,6 +27,7 @@
                          server::handler onRequest)
     : m_base(base), m_settings(settings), m_handler(std::move(onRequest)), m_http(evhttp_new(base))
 {
+    ignoreBrokenPipes();
     evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(settings.maxHeaderBytes));
     evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(settings.maxBodyBytes));
     evhttp_set_timeout(m_http, static_cast<int>(settings.idleTimeout.count()));
--- a/src/standins/event_loop.cpp
+++ b/src/standins/event_loop.cpp
@@ -17,8 +17,7 @@
       m_terminate(event_new(m_base, SIGTERM, EV_SIGNAL | EV_PERSIST, stop, m_base)),
       m_interrupt(event_new(m_base, SIGINT, EV_SIGNAL | EV_PERSIST, stop, m_base))
 {
-    // A peer that closes its connection must not end the process.
-    std::signal(SIGPIPE, SIG_IGN);
+    http::ignoreBrokenPipes();
     event_add(m_terminate.get(), nullptr);
     event_add(m_interrupt.get(), nullptr);
 }
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(reportsRefusedConnectionAsNotSent);
     CPPUNIT_TEST(reportsLostConnectionOnceWithoutRetry);
     CPPUNIT_TEST(reopensConnectionClosedWhileIdle);
+    CPPUNIT_TEST(readsRefusalOfOversizedBody);
     CPPUNIT_TEST(rejectsBadResponses);
     CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +173,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), lastBody());
     }
 
+    /// Guards against refusals that are lost because the server closes before the body is sent.
+    void readsRefusalOfOversizedBody()
+    {
+        send({"POST", "/", {}, {}, std::string(3'000'000, 'x')});
+        awaitOutcomes(1);
+        const auto *answer = std::get_if<response>(&m_outcomes.back());
+        CPPUNIT_ASSERT(answer != nullptr);
+        CPPUNIT_ASSERT_EQUAL(413, answer->status);
+    }
+
     /// Guards against truncated, oversized or unreadable responses that are taken for answers.
     void rejectsBadResponses()
     {
