--- a/src/entry/entry_dispatch.cpp
+++ b/src/entry/entry_dispatch.cpp
@@ -84,7 +84,9 @@
 void entry_dispatch::operator()(const platform_finished &finished)
 {
     if (m_parts.documents.onPlatform(m_context, finished)) {
-        // The lists can only have changed with the end of a platform call.
+        if (m_parts.documents.hostListReads() == m_parts.appliedHostLists)
+            return;
+        m_parts.appliedHostLists = m_parts.documents.hostListReads();
         m_parts.members.addSeeds(m_parts.documents.listedHosts());
         m_parts.departures.onList(m_context, m_parts.backends, m_parts.members,
                                   m_parts.documents.leavingServers());
--- a/src/entry/entry_parts.h
+++ b/src/entry/entry_parts.h
@@ -51,6 +51,8 @@
     bool isStarted = false;
     /// Configuration that the other parts work with.
     std::shared_ptr<const configuration> appliedDocument;
+    /// Host lists of the platform that were applied.
+    std::uint64_t appliedHostLists = 0;
     /// Membership version of `holders`.
     std::uint64_t assignedVersion = 0;
 
--- /dev/null
+++ b/tests/admission/admission_control_test.cpp
@@ -0,0 +1,75 @@
+#include "admission/admission_control.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace waxwing {
+
+using namespace std::chrono_literals;
+
+class admission_control_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(admission_control_test);
+    CPPUNIT_TEST(refusesByTheEstimatedWait);
+    CPPUNIT_TEST(sharesABusyServiceBetweenCallers);
+    CPPUNIT_TEST(boundsAllServicesTogether);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against searches that are started although they would miss their deadline.
+    void refusesByTheEstimatedWait()
+    {
+        admission_control control({});
+        // 40 searches in progress that take 400 ms: 10 ms each, so 80 fit into 0.8 of 1 s.
+        for (int i = 0; i < 40; ++i)
+            CPPUNIT_ASSERT(!control.admit(m_desk, "", 1s).has_value());
+        for (int i = 0; i < 1000; ++i) {
+            control.release(m_desk, "", 400ms);
+            CPPUNIT_ASSERT(!control.admit(m_desk, "", 1s).has_value());
+        }
+        int more = 0;
+        while (!control.admit(m_desk, "", 1s).has_value())
+            ++more;
+        CPPUNIT_ASSERT(more >= 39 && more <= 41);
+        const auto refused = control.admit(m_desk, "", 1s);
+        CPPUNIT_ASSERT(!refused->callerOverShare && refused->retryAfter >= 1s);
+        CPPUNIT_ASSERT_MESSAGE("more time", !control.admit(m_desk, "", 2s).has_value());
+        CPPUNIT_ASSERT_MESSAGE("other service", !control.admit({"other"}, "", 1s).has_value());
+    }
+
+    /// Guards against one caller that takes the whole service from the others.
+    void sharesABusyServiceBetweenCallers()
+    {
+        admission_settings settings;
+        settings.maxInProgress = 100;
+        admission_control control(settings);
+        CPPUNIT_ASSERT(!control.admit(m_desk, "small", 1s).has_value());
+        int large = 0;
+        std::optional<admission_refusal> refused;
+        while (!(refused = control.admit(m_desk, "large", 1s)).has_value())
+            ++large;
+        CPPUNIT_ASSERT(refused->callerOverShare);
+        CPPUNIT_ASSERT_EQUAL(50, large);
+        CPPUNIT_ASSERT(!control.admit(m_desk, "small", 1s).has_value());
+        CPPUNIT_ASSERT(!control.admit(m_desk, "third", 1s).has_value());
+    }
+
+    /// Guards against memory that grows with the searches in progress.
+    void boundsAllServicesTogether()
+    {
+        admission_settings settings;
+        settings.maxInProgress = 3;
+        admission_control control(settings);
+        for (const char *name : {"a", "b", "c"})
+            CPPUNIT_ASSERT(!control.admit({name}, "", 1s).has_value());
+        CPPUNIT_ASSERT(control.admit({"d"}, "", 1s).has_value());
+        control.release({"a"}, "", std::nullopt);
+        CPPUNIT_ASSERT(!control.admit({"d"}, "", 1s).has_value());
+    }
+
+private:
+    service_id m_desk{"desk"};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_control_test);
+
+} // namespace waxwing
--- /dev/null
+++ b/tests/entry/health_poller_test.cpp
@@ -0,0 +1,79 @@
+#include "entry/entry_fixture.h"
+#include "entry/health_poller.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace waxwing {
+
+using namespace std::chrono_literals;
+
+class health_poller_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(health_poller_test);
+    CPPUNIT_TEST(pollsHeldServersEveryTwoSeconds);
+    CPPUNIT_TEST(releasesServersThatAreNotHeld);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against hosts that do not notice an idle server, or all poll at the same time.
+    void pollsHeldServersEveryTwoSeconds()
+    {
+        entry_fixture fixture;
+        health_poller poller({});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, assign(fixture, poller, "host").size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.all<limit_connections>().size());
+        const time_point start = fixture.now;
+        while (*poller.nextDeadline() <= start + 60s) {
+            fixture.now = *poller.nextDeadline();
+            auto context = fixture.context();
+            poller.onTick(context);
+        }
+        const auto polls = fixture.all<poll_health>().size();
+        CPPUNIT_ASSERT(polls >= 56 && polls <= 70);
+    }
+
+    /// Guards against connections of former holders that use up a server's limit.
+    void releasesServersThatAreNotHeld()
+    {
+        entry_fixture fixture;
+        health_poller poller({});
+        assign(fixture, poller, "host");
+        fixture.effects.clear();
+        CPPUNIT_ASSERT(assign(fixture, poller, "host").empty());
+        CPPUNIT_ASSERT(fixture.effects.empty());
+        const auto changed = assign(fixture, poller, "other");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, changed.size());
+        for (const auto &limit : fixture.all<limit_connections>())
+            CPPUNIT_ASSERT_EQUAL(0U, limit.limit);
+        CPPUNIT_ASSERT(!poller.nextDeadline().has_value());
+    }
+
+private:
+    /// Assigns the servers of a document of one service, held by `host`.
+    static std::map<server_id, std::uint32_t> assign(entry_fixture &fixture, health_poller &poller,
+                                                     const char *self)
+    {
+        configuration document;
+        document.zones = {{"z"}};
+        for (const char *name : {"leaf-1", "leaf-2"}) {
+            backend_server server;
+            server.id = {name};
+            server.zone = {"z"};
+            document.servers.push_back(server);
+        }
+        service target;
+        target.id = {"desk"};
+        target.partitionings = {{1, {{{"s"}, 1, {{"leaf-1"}, {"leaf-2"}}}}}};
+        document.services = {target};
+        member holder;
+        holder.host = {"host"};
+        holder.zone = {"z"};
+        const auto holders = holder_assignment::compute(document, {holder}, {});
+        auto context = fixture.context();
+        return poller.assign(context, document, holders, {self});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(health_poller_test);
+
+} // namespace waxwing
