--- a/src/entry/entry_dispatch.cpp
+++ b/src/entry/entry_dispatch.cpp
@@ -16,7 +16,8 @@
     auto environment = m_parts.queryEnvironment();
     m_parts.queries.onTick(m_context, environment);
     m_parts.commands.onTick(m_context);
-    m_parts.poller.onTick(m_context);
+    for (const auto &[server, connections] : m_parts.poller.onTick(m_context))
+        m_parts.backends.setConnectionLimit(server, connections);
 }
 
 void entry_dispatch::operator()(const started &start)
@@ -84,7 +85,9 @@
 void entry_dispatch::operator()(const platform_finished &finished)
 {
     if (m_parts.documents.onPlatform(m_context, finished)) {
-        // The lists can only have changed with the end of a platform call.
+        if (m_parts.documents.hostListReads() == m_parts.appliedHostLists)
+            return;
+        m_parts.appliedHostLists = m_parts.documents.hostListReads();
         m_parts.members.addSeeds(m_parts.documents.listedHosts());
         m_parts.departures.onList(m_context, m_parts.backends, m_parts.members,
                                   m_parts.documents.leavingServers());
