--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -1,6 +1,8 @@
 #include "membership/member_table.h"
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace waxwing {
 
@@ -10,12 +12,10 @@
 {
     m_self = self.host;
     const auto [known, added] = m_members.try_emplace(self.host, self);
-    if (added) {
-        m_activeCount += isActive(self.state) ? 1 : 0;
-        ++m_activeVersion;
-    } else {
+    if (added)
+        setActive(self.host, isActive(self.state));
+    else
         replace(known->second, self);
-    }
 }
 
 const member &member_table::self() const
@@ -36,8 +36,7 @@
         if (record.state == member_state::Dead || m_members.size() >= m_settings.maxMembers)
             return change::None;
         known = m_members.emplace(record.host, record).first;
-        m_activeCount += isActive(record.state) ? 1 : 0;
-        m_activeVersion += isActive(record.state) ? 1 : 0;
+        setActive(record.host, isActive(record.state));
         result = change::Joined;
     } else {
         member &current = known->second;
@@ -106,7 +105,7 @@
 std::vector<member> member_table::active() const
 {
     std::vector<member> result;
-    result.reserve(m_activeCount);
+    result.reserve(m_activeHosts.size());
     for (const auto &[host, each] : m_members) {
         if (isActive(each.state))
             result.push_back(each);
@@ -114,6 +113,29 @@
     return result;
 }
 
+std::vector<member> member_table::chooseActive(std::size_t count, const host_id &excluded,
+                                               random_engine &random) const
+{
+    std::vector<member> chosen;
+    const std::size_t size = m_activeHosts.size();
+    if (size == 0)
+        return chosen;
+    // Walks through all places from a random one, with a random step that has no factor in common
+    // with their number, so that each place comes once.
+    const auto bound = static_cast<std::uint32_t>(size);
+    std::size_t place = random(bound);
+    std::size_t pace = 1 + random(bound);
+    while (std::gcd(pace, size) != 1)
+        ++pace;
+    for (std::size_t seen = 0; seen < size && chosen.size() < count; ++seen) {
+        const host_id &host = m_activeHosts[place];
+        if (host != excluded && host != m_self)
+            chosen.push_back(m_members.at(host));
+        place = (place + pace) % size;
+    }
+    return chosen;
+}
+
 bool member_table::isActive(member_state state)
 {
     return state == member_state::Alive || state == member_state::Suspect;
@@ -121,19 +143,32 @@
 
 void member_table::replace(member &known, const member &record)
 {
-    const bool wasActive = isActive(known.state);
-    const bool becomesActive = isActive(record.state);
     const bool moved =
         known.zone != record.zone || known.gossip != record.gossip || known.peer != record.peer;
-    if (wasActive && !becomesActive)
-        --m_activeCount;
-    if (!wasActive && becomesActive)
-        ++m_activeCount;
-    if (wasActive != becomesActive || (becomesActive && moved))
+    setActive(record.host, isActive(record.state));
+    if (isActive(known.state) && isActive(record.state) && moved)
         ++m_activeVersion;
     known = record;
 }
 
+void member_table::setActive(const host_id &host, bool active)
+{
+    const auto known = m_activePlaces.find(host);
+    if (active == (known != m_activePlaces.end()))
+        return;
+    ++m_activeVersion;
+    if (active) {
+        m_activePlaces.emplace(host, m_activeHosts.size());
+        m_activeHosts.push_back(host);
+        return;
+    }
+    const std::size_t place = known->second;
+    m_activePlaces[m_activeHosts.back()] = place;
+    std::swap(m_activeHosts[place], m_activeHosts.back());
+    m_activeHosts.pop_back();
+    m_activePlaces.erase(host);
+}
+
 void member_table::setDue(const host_id &host, std::optional<time_point> due)
 {
     const auto known = m_due.find(host);
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/random.h"
 #include "membership/member.h"
 
 #include <cstdint>
@@ -62,7 +63,11 @@
     /// Hosts that are alive or suspect.
     std::vector<member> active() const;
     /// Number of hosts that are alive or suspect.
-    std::size_t activeCount() const { return m_activeCount; }
+    std::size_t activeCount() const { return m_activeHosts.size(); }
+    /// Up to `count` random active hosts other than this host and `excluded`, without a look at
+    /// each member.
+    std::vector<member> chooseActive(std::size_t count, const host_id &excluded,
+                                     random_engine &random) const;
     /// Grows whenever a host becomes active or inactive, or an active one changes its place.
     std::uint64_t activeVersion() const { return m_activeVersion; }
     /// Whether a member in this state may get work and holds connections.
@@ -70,6 +75,7 @@
 
 private:
     void replace(member &known, const member &record);
+    void setActive(const host_id &host, bool active);
     void setDue(const host_id &host, std::optional<time_point> due);
 
     member_table_settings m_settings;
@@ -78,7 +84,9 @@
     /// End of the suspicion of suspects, end of the memory of dead members.
     std::map<host_id, time_point> m_due;
     std::set<std::pair<time_point, host_id>> m_dueOrder;
-    std::size_t m_activeCount = 0;
+    /// Active hosts in no particular order, and their positions in it.
+    std::vector<host_id> m_activeHosts;
+    std::map<host_id, std::size_t> m_activePlaces;
     std::uint64_t m_activeVersion = 0;
 };
 
--- a/src/membership/membership_state.cpp
+++ b/src/membership/membership_state.cpp
@@ -124,7 +124,7 @@
     left = updateBytes + reserved;
     facts.take(context.now, transmissions(), left, message.facts);
     updateBytes = left;
-    for (const member &filler : chooseActive(settings.fillerMembers, to, context.random))
+    for (const member &filler : members.chooseActive(settings.fillerMembers, to, context.random))
         addRecord(filler);
     context.emit(send_datagram{address, std::move(message)});
 }
@@ -203,7 +203,7 @@
     pending->askOthersAt.reset();
     const pending_probe asked = *pending;
     for (const member &helper :
-         chooseActive(settings.indirectProbes, asked.target, context.random)) {
+         members.chooseActive(settings.indirectProbes, asked.target, context.random)) {
         gossip_message request;
         request.kind = gossip_message::message_kind::IndirectProbe;
         request.probe = asked.number;
@@ -214,7 +214,7 @@
 
 void membership::state::reconnect(reduce_context &context)
 {
-    const bool alone = chooseActive(1, {}, context.random).empty();
+    const bool alone = members.chooseActive(1, {}, context.random).empty();
     if (alone || context.now >= nextSeedContact) {
         std::set<endpoint> known;
         for (const member &each : members.active())
@@ -249,7 +249,7 @@
 {
     pushAt.reset();
     lastPush = context.now;
-    for (const member &each : chooseActive(settings.pushFanOut, {}, context.random))
+    for (const member &each : members.chooseActive(settings.pushFanOut, {}, context.random))
         sendProbe(context, each.gossip, each.host);
 }
 
@@ -261,24 +261,6 @@
     nextPeriod = now;
 }
 
-std::vector<member> membership::state::chooseActive(std::size_t count, const host_id &excluded,
-                                                    random_engine &random) const
-{
-    std::vector<const member *> candidates;
-    for (const auto &[host, each] : members.all()) {
-        if (member_table::isActive(each.state) && host != excluded && host != members.self().host)
-            candidates.push_back(&each);
-    }
-    count = std::min(count, candidates.size());
-    std::vector<member> chosen;
-    for (std::size_t i = 0; i < count; ++i) {
-        const auto left = static_cast<std::uint32_t>(candidates.size() - i);
-        std::swap(candidates[i], candidates[i + random(left)]);
-        chosen.push_back(*candidates[i]);
-    }
-    return chosen;
-}
-
 duration membership::state::suspicionTime() const
 {
     const double count = std::max<double>(1, static_cast<double>(members.activeCount()));
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -72,9 +72,6 @@
     /// Discards what a pause of this host has made unreliable.
     void onPause(time_point now, duration pause);
 
-    /// Random members other than this host and `excluded` that are active.
-    std::vector<member> chooseActive(std::size_t count, const host_id &excluded,
-                                     random_engine &random) const;
     /// Time that a suspect has for its refutation.
     duration suspicionTime() const;
     /// Times that an update is sent.
