--- a/tests/query/query_simulation.h
+++ b/tests/query/query_simulation.h
@@ -26,6 +26,8 @@
         bool down = false;
         /// Whether it accepts requests and never answers.
         bool silent = false;
+        /// Whether it refuses every request for load.
+        bool overloaded = false;
         /// Snapshots that it holds of each shard.
         std::vector<snapshot> held{{1, 1}};
         /// Time to the next reply.
@@ -199,6 +201,7 @@
             if (running.server != id || running.ended)
                 continue;
             running.ended = true;
+            ran.insert(running.query);
             finish(key.first, key.second, leaf_failure{leaf_error::ConnectionLost, "", {}, {}},
                    std::chrono::milliseconds(1));
         }
@@ -259,6 +262,8 @@
     duration restartTime = std::chrono::seconds(3);
     /// Time that a fact takes to the other hosts.
     duration factTime = std::chrono::milliseconds(2);
+    /// Queries that a server may have run a part of.
+    std::set<std::string> ran;
     /// Searches sent to backend servers, and those of them that were cancelled.
     std::uint64_t sent = 0;
     std::uint64_t cancelled = 0;
@@ -267,6 +272,7 @@
     struct running_request
     {
         server_id server;
+        std::string query;
         bool ended = false;
     };
 
@@ -321,7 +327,13 @@
             return;
         }
         ++server.received;
-        m_running[{at, attempt}] = {send.server, false};
+        if (server.overloaded) {
+            finish(at, attempt,
+                   leaf_failure{leaf_error::Overloaded, "", std::chrono::seconds(1), {}},
+                   std::chrono::milliseconds(1));
+            return;
+        }
+        m_running[{at, attempt}] = {send.server, send.search.query, false};
         if (send.search.query == poison && !poison.empty()) {
             after(crashTime, [this, id = send.server] {
                 if (leaves[id].down)
@@ -332,8 +344,10 @@
             return;
         }
         const duration time = server.latency(m_random);
-        if (server.silent)
+        if (server.silent) {
+            ran.insert(send.search.query);
             return;
+        }
         after(time, [this, at, send] { reply(at, send); });
     }
 
@@ -356,6 +370,8 @@
                                   1000,
                                   hits(send.search),
                                   held};
+        if (std::holds_alternative<leaf_answer>(outcome))
+            ran.insert(send.search.query);
         if (server.spoil)
             server.spoil(outcome);
         finish(at, send.attempt.value, outcome, duration(0));
@@ -385,6 +401,7 @@
         if (running.ended)
             return;
         running.ended = true;
+        ran.insert(running.query);
         finish(at, attempt, leaf_failure{leaf_error::Cancelled, "", {}, {}},
                std::chrono::milliseconds(1));
     }
