--- a/src/console/change_flow.cpp
+++ b/src/console/change_flow.cpp
@@ -98,9 +98,9 @@
 void change_flow::submit(const sent_form &sent, const configuration &base,
                          const configuration &current, const callback &onEnd)
 {
-    m_hosts.askAll([this, sent, base, current, onEnd](const std::vector<host_status> &hosts) {
+    m_hosts.askAll([this, sent, base, current, onEnd](const std::vector<host_report> &hosts) {
         const bool isOld =
-            std::any_of(hosts.begin(), hosts.end(), [&current](const host_status &host) {
+            std::any_of(hosts.begin(), hosts.end(), [&current](const host_report &host) {
                 return host.revision > current.revision;
             });
         if (isOld) {
--- a/src/console/console_pages.cpp
+++ b/src/console/console_pages.cpp
@@ -83,7 +83,7 @@
 
 void console_pages::showOverview(const shared_responder &to)
 {
-    m_hosts.askAll([this, to](const std::vector<host_status> &hosts) {
+    m_hosts.askAll([this, to](const std::vector<host_report> &hosts) {
         m_reader.readCurrent([this, to, hosts](const absl::StatusOr<configuration> &current) {
             to->respond(htmlPage(current.ok() ? 200 : 503, "Overview",
                                  renderOverview(current, hosts, m_time.wallNow())));
--- a/src/console/overview_page.cpp
+++ b/src/console/overview_page.cpp
@@ -50,7 +50,7 @@
     return result + "</tbody></table>\n";
 }
 
-std::string renderHosts(const std::vector<host_status> &hosts)
+std::string renderHosts(const std::vector<host_report> &hosts)
 {
     std::string result = "<h2>Entry hosts</h2><table><thead><tr><th>Host</th><th>Address</th>"
                          "<th>Zone</th><th>Revision</th></tr></thead><tbody>\n";
@@ -73,7 +73,7 @@
 } // namespace
 
 std::string renderOverview(const absl::StatusOr<configuration> &current,
-                           const std::vector<host_status> &hosts, wall_time now)
+                           const std::vector<host_report> &hosts, wall_time now)
 {
     if (!current.ok()) {
         return fmt::format("<p class=\"error\">The accepted configuration is not known: {}. Entry "
--- a/src/ctl/ctl_commands.cpp
+++ b/src/ctl/ctl_commands.cpp
@@ -173,7 +173,7 @@
 bool ctl_commands::isNewest(const configuration &current)
 {
     const auto hosts =
-        wait<std::vector<host_status>>([this](auto done) { m_hosts.askAll(std::move(done)); });
+        wait<std::vector<host_report>>([this](auto done) { m_hosts.askAll(std::move(done)); });
     const auto newer = std::find_if(hosts.begin(), hosts.end(), [&current](const auto &host) {
         return host.revision > current.revision;
     });
@@ -199,10 +199,12 @@
     }
     const auto &change = std::get<prepared_change>(prepared);
     writeDifferences(m_out, change.differences);
-    return submit(submission(m_settings.submissions, current, change.next), changeId);
+    return submit(submission(m_settings.submissions, current, change.next),
+                  "repeat the command with --change_id=" + changeId
+                      + " to find out, it is not applied twice");
 }
 
-exit_code ctl_commands::submit(submission sending, const std::string &changeId)
+exit_code ctl_commands::submit(submission sending, const std::string &adviceIfUnknown)
 {
     const auto outcome = wait<submission_outcome>(
         [this, &sending](auto done) { m_objects.submit(std::move(sending), std::move(done)); });
@@ -223,15 +225,14 @@
     case submission_result::Unknown:
         break;
     }
-    m_errors << outcome.detail << "; repeat the command with --change_id=" << changeId
-             << " to find out, it is not applied twice\n";
+    m_errors << outcome.detail << "; " << adviceIfUnknown << '\n';
     return exit_code::Unreachable;
 }
 
 exit_code ctl_commands::status()
 {
     const auto hosts =
-        wait<std::vector<host_status>>([this](auto done) { m_hosts.askAll(std::move(done)); });
+        wait<std::vector<host_report>>([this](auto done) { m_hosts.askAll(std::move(done)); });
     for (const auto &host : hosts) {
         if (host.problem.empty()) {
             m_out << host.host << " zone " << host.zone << " revision " << host.revision
@@ -255,7 +256,7 @@
 exit_code ctl_commands::restore()
 {
     const auto hosts =
-        wait<std::vector<host_status>>([this](auto done) { m_hosts.askAll(std::move(done)); });
+        wait<std::vector<host_report>>([this](auto done) { m_hosts.askAll(std::move(done)); });
     const auto newest =
         std::max_element(hosts.begin(), hosts.end(),
                          [](const auto &a, const auto &b) { return a.revision < b.revision; });
@@ -276,7 +277,7 @@
     m_out << "revision " << copy->document->revision << " of entry host " << newest->host << '\n';
     auto settings = m_settings.submissions;
     settings.restore = true;
-    return submit(submission(settings, {}, *copy), copy->document->changeId);
+    return submit(submission(settings, {}, *copy), "run 'waxwingctl restore' again");
 }
 
 void ctl_commands::reportProblems(const change_problems &problems)
--- a/src/ctl/ctl_commands.h
+++ b/src/ctl/ctl_commands.h
@@ -65,7 +65,7 @@
     /// Whether no entry host runs a newer revision than the platform has.
     bool isNewest(const configuration &current);
     exit_code submitEdit(const configuration &current, configuration_edit edit);
-    exit_code submit(submission sending, const std::string &changeId);
+    exit_code submit(submission sending, const std::string &adviceIfUnknown);
     exit_code reportStale(const configuration &from, const configuration &current);
     exit_code reportRead(const object_answer &answer, const std::string &what);
     void reportProblems(const change_problems &problems);
--- a/src/ctl/host_client.cpp
+++ b/src/ctl/host_client.cpp
@@ -5,17 +5,17 @@
 namespace waxwing {
 namespace {
 
-host_status readOutcome(const endpoint &address, const http::client::outcome &outcome)
+host_report readOutcome(const endpoint &address, const http::client::outcome &outcome)
 {
     if (const auto *response = std::get_if<http::response>(&outcome)) {
         if (response->status == 200)
-            return readHostStatus(address, response->body);
-        host_status failed;
+            return readHostReport(address, response->body);
+        host_report failed;
         failed.address = address;
         failed.problem = "status " + std::to_string(response->status);
         return failed;
     }
-    host_status failed;
+    host_report failed;
     failed.address = address;
     failed.problem = std::get<http::transport_failure>(outcome).detail;
     if (failed.problem.empty())
@@ -26,9 +26,9 @@
 /// Answers that are being collected.
 struct collection
 {
-    std::vector<host_status> answers;
+    std::vector<host_report> answers;
     std::size_t missing = 0;
-    std::function<void(std::vector<host_status>)> onAnswers;
+    std::function<void(std::vector<host_report>)> onAnswers;
 };
 
 } // namespace
@@ -37,7 +37,7 @@
     : m_connections(connections), m_settings(std::move(settings))
 { }
 
-void host_client::askAll(std::function<void(std::vector<host_status>)> onAnswers)
+void host_client::askAll(std::function<void(std::vector<host_report>)> onAnswers)
 {
     const auto &hosts = m_settings.hosts;
     if (hosts.empty()) {
@@ -45,7 +45,7 @@
         return;
     }
     const auto collected = std::make_shared<collection>(
-        collection{std::vector<host_status>(hosts.size()), hosts.size(), std::move(onAnswers)});
+        collection{std::vector<host_report>(hosts.size()), hosts.size(), std::move(onAnswers)});
     for (std::size_t i = 0; i < hosts.size(); ++i) {
         m_connections.send(
             hosts[i], {"GET", "/v1/status", {}, {}, {}}, m_settings.timeout,
--- a/src/ctl/host_client.h
+++ b/src/ctl/host_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ctl/host_status.h"
+#include "ctl/host_report.h"
 #include "http/client.h"
 
 #include <chrono>
@@ -30,7 +30,7 @@
     host_client(http::client &connections, host_client_settings settings);
 
     /// Asks every host for its status, at the same time. The result has the order of the settings.
-    void askAll(std::function<void(std::vector<host_status>)> onAnswers);
+    void askAll(std::function<void(std::vector<host_report>)> onAnswers);
     /// Asks one host for the text of its configuration; empty if it cannot be had.
     void fetchConfiguration(const endpoint &host,
                             std::function<void(std::optional<std::string>)> onAnswer);
--- a/src/ctl/host_status.cpp
+++ b/src/ctl/host_report.cpp
@@ -1,4 +1,4 @@
-#include "ctl/host_status.h"
+#include "ctl/host_report.h"
 
 #include <nlohmann/json.hpp>
 
@@ -25,7 +25,7 @@
 }
 
 /// Hosts that others list and that were not asked, with the state that was listed.
-std::map<std::string, std::string> findUnasked(const std::vector<host_status> &hosts)
+std::map<std::string, std::string> findUnasked(const std::vector<host_report> &hosts)
 {
     std::set<std::string> asked;
     for (const auto &host : hosts)
@@ -41,7 +41,7 @@
     return result;
 }
 
-std::string describe(const host_status &host, std::uint64_t revision)
+std::string describe(const host_report &host, std::uint64_t revision)
 {
     if (!host.problem.empty())
         return fmt::format("{}: not reached ({})", host.address.toString(), host.problem);
@@ -53,9 +53,9 @@
 
 } // namespace
 
-host_status readHostStatus(const endpoint &address, std::string_view body)
+host_report readHostReport(const endpoint &address, std::string_view body)
 {
-    host_status result;
+    host_report result;
     result.address = address;
     const auto value = json::parse(body, nullptr, false);
     if (!value.is_object() || textOf(value, "host").empty()) {
@@ -82,7 +82,7 @@
     return result;
 }
 
-force_summary summarizeForce(const std::vector<host_status> &hosts, std::uint64_t revision)
+force_summary summarizeForce(const std::vector<host_report> &hosts, std::uint64_t revision)
 {
     force_summary result;
     std::size_t running = 0;
--- a/src/ctl/host_status.h
+++ b/src/ctl/host_report.h
@@ -25,7 +25,7 @@
 };
 
 /// What an entry host says about itself at its admin endpoint.
-struct host_status
+struct host_report
 {
     /// Admin endpoint that was asked.
     endpoint address;
@@ -42,11 +42,11 @@
     /// Members that it knows.
     std::vector<listed_member> members;
 
-    bool operator==(const host_status &) const = default;
+    bool operator==(const host_report &) const = default;
 };
 
 /// Reads the body of `GET /v1/status`. A malformed body is a `problem`.
-host_status readHostStatus(const endpoint &address, std::string_view body);
+host_report readHostReport(const endpoint &address, std::string_view body);
 
 /// Where a revision is in force, as far as that is known.
 struct force_summary
@@ -62,6 +62,6 @@
 
 /// Compares what hosts run with the accepted revision. What a host says about another one is too
 /// old to count: it only shows which hosts were not asked.
-force_summary summarizeForce(const std::vector<host_status> &hosts, std::uint64_t revision);
+force_summary summarizeForce(const std::vector<host_report> &hosts, std::uint64_t revision);
 
 } // namespace waxwing
--- a/tests/configuration/submission_test.cpp
+++ b/tests/configuration/submission_test.cpp
@@ -1,59 +1,15 @@
 #include "configuration/example_document.h"
+#include "configuration/fake_platform.h"
 #include "configuration/submission.h"
 #include "configuration/wall_time_text.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <map>
-
 namespace waxwing {
 namespace {
 
 using step = submission::step;
 
-/// Platform in memory, whose next calls fail as a script says.
-class fake_platform
-{
-public:
-    enum class fault { None, Down, LostBefore, LostAfter };
-
-    object_answer call(const object_call &what)
-    {
-        const auto next = faults.empty() ? fault::None : faults.front();
-        if (!faults.empty())
-            faults.erase(faults.begin());
-        if (next == fault::Down)
-            return call_failed{false, "connection refused"};
-        if (next == fault::LostBefore)
-            return call_failed{true, "connection lost"};
-        auto answer = what.value ? write(what) : read(what);
-        return next == fault::LostAfter ? call_failed{true, "connection lost"} : answer;
-    }
-
-    const found_object &current() const { return objects.at({configurationKind, currentName}); }
-
-    std::map<std::pair<std::string, std::string>, found_object> objects;
-    std::vector<fault> faults;
-    int writes = 0;
-
-private:
-    object_answer read(const object_call &what) const
-    {
-        const auto found = objects.find({what.kind, what.name});
-        return found == objects.end() ? object_answer(missing_object{}) : found->second;
-    }
-
-    object_answer write(const object_call &what)
-    {
-        auto &object = objects[{what.kind, what.name}];
-        if (object.version != what.version)
-            return write_conflict{object};
-        object = {object.version + 1, *what.value};
-        writes += what.kind == configurationKind ? 1 : 0;
-        return object_written{object.version};
-    }
-};
-
 using fault = fake_platform::fault;
 
 submission_outcome run(submission &sending, step next, fake_platform &platform)
--- a/tests/ctl/host_status_test.cpp
+++ b/tests/ctl/host_report_test.cpp
@@ -1,19 +1,19 @@
-#include "ctl/host_status.h"
+#include "ctl/host_report.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace waxwing {
 
-class host_status_test : public CppUnit::TestFixture
+class host_report_test : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(host_status_test);
+    CPPUNIT_TEST_SUITE(host_report_test);
     CPPUNIT_TEST(readsStatus);
     CPPUNIT_TEST(claimsForceOnlyWhereKnown);
     CPPUNIT_TEST_SUITE_END();
 
     const endpoint m_address{"127.0.0.1", 9000};
 
-    host_status running(const std::string &host, std::uint64_t revision,
+    host_report running(const std::string &host, std::uint64_t revision,
                         const std::string &digest = "d") const
     {
         return {m_address, "", host, "a", revision, digest, {}};
@@ -23,15 +23,15 @@
     /// Guards against a tool that ends, or shows zeros, on an answer of another version.
     void readsStatus()
     {
-        const auto status = readHostStatus(
+        const auto status = readHostReport(
             m_address, R"({"host":"h1","zone":"a","new":1,"configuration":{"revision":7,
             "digest":"ab"},"members":[{"host":"h2","zone":"b","state":"alive",
             "configuration_revision":6},5]})");
-        const host_status expected{m_address, "", "h1", "a", 7, "ab", {{"h2", "b", "alive", 6}}};
+        const host_report expected{m_address, "", "h1", "a", 7, "ab", {{"h2", "b", "alive", 6}}};
         CPPUNIT_ASSERT(expected == status);
-        CPPUNIT_ASSERT(readHostStatus(m_address, R"({"host":"h1"})").problem.empty());
+        CPPUNIT_ASSERT(readHostReport(m_address, R"({"host":"h1"})").problem.empty());
         for (const char *body : {"", "[]", "{}", R"({"host":5})"})
-            CPPUNIT_ASSERT(!readHostStatus(m_address, body).problem.empty());
+            CPPUNIT_ASSERT(!readHostReport(m_address, body).problem.empty());
     }
 
     /// Guards against a change that is called in force while a host is unreachable, behind, was
@@ -55,6 +55,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(host_status_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(host_report_test);
 
 } // namespace waxwing
