Restore only the document that hosts report

restore took whatever the host sent, and could not work with hosts that do not serve GET /v1/configuration. It now takes the document from the host or from the history of the platform, and only where its digest is the one in the host's status, because after a restore the history may hold another document of the same revision.

--- a/src/ctl/ctl_commands.cpp
+++ b/src/ctl/ctl_commands.cpp
@@ -253,6 +253,21 @@
     return summary.everywhere ? exit_code::Ok : exit_code::Refused;
 }
 
+std::optional<configuration_copy> ctl_commands::findCopy(const host_report &host)
+{
+    const auto sent = wait<std::optional<std::string>>(
+        [this, &host](auto done) { m_hosts.fetchConfiguration(host.address, std::move(done)); });
+    const auto recorded = read(historyKind, std::to_string(host.revision));
+    const auto *object = std::get_if<found_object>(&recorded);
+    for (const auto &text : {sent.value_or(""), object != nullptr ? object->text : ""}) {
+        const auto copy = parseConfiguration(text);
+        // After a restore, the history may hold another document of the same revision.
+        if (copy.ok() && formatDigest(copy->digest) == host.digest)
+            return *copy;
+    }
+    return std::nullopt;
+}
+
 exit_code ctl_commands::restore()
 {
     const auto hosts =
@@ -265,14 +280,12 @@
                     "entry hosts with --entry_hosts\n";
         return exit_code::Unreachable;
     }
-    const auto text = wait<std::optional<std::string>>([this, &newest](auto done) {
-        m_hosts.fetchConfiguration(newest->address, std::move(done));
-    });
-    const auto copy = parseConfiguration(text.value_or(""));
-    if (!copy.ok()) {
-        m_errors << "entry host " << newest->host
-                 << " sends no valid configuration: " << copy.status().message() << '\n';
-        return exit_code::Unreachable;
+    const auto copy = findCopy(*newest);
+    if (!copy) {
+        m_errors << "revision " << newest->revision << " with digest " << newest->digest
+                 << " is neither sent by entry host " << newest->host
+                 << " nor in the history; apply a checked document instead\n";
+        return exit_code::Refused;
     }
     m_out << "revision " << copy->document->revision << " of entry host " << newest->host << '\n';
     auto settings = m_settings.submissions;
--- a/src/ctl/ctl_commands.h
+++ b/src/ctl/ctl_commands.h
@@ -65,6 +65,8 @@
     /// Whether no entry host runs a newer revision than the platform has.
     bool isNewest(const configuration &current);
     exit_code submitEdit(const configuration &current, configuration_edit edit);
+    /// The document that the host runs, from itself or from the history.
+    std::optional<configuration_copy> findCopy(const host_report &host);
     exit_code submit(submission sending, const std::string &adviceIfUnknown);
     exit_code reportStale(const configuration &from, const configuration &current);
     exit_code reportRead(const object_answer &answer, const std::string &what);
--- a/src/ctl/host_report.cpp
+++ b/src/ctl/host_report.cpp
@@ -53,6 +53,11 @@
 
 } // namespace
 
+std::string formatDigest(std::uint64_t digest)
+{
+    return fmt::format("{:016x}", digest);
+}
+
 host_report readHostReport(const endpoint &address, std::string_view body)
 {
     host_report result;
--- a/src/ctl/host_report.h
+++ b/src/ctl/host_report.h
@@ -37,7 +37,7 @@
     std::string zone;
     /// Revision of the configuration in force, 0 if there is none.
     std::uint64_t revision = 0;
-    /// Digest of the configuration in force.
+    /// Digest of the configuration in force; see `formatDigest`.
     std::string digest;
     /// Members that it knows.
     std::vector<listed_member> members;
@@ -45,6 +45,9 @@
     bool operator==(const host_report &) const = default;
 };
 
+/// The text form of a digest in reports: 16 hexadecimal digits.
+std::string formatDigest(std::uint64_t digest);
+
 /// Reads the body of `GET /v1/status`. A malformed body is a `problem`.
 host_report readHostReport(const endpoint &address, std::string_view body);
 
--- a/tests/ctl/ctl_commands_test.cpp
+++ b/tests/ctl/ctl_commands_test.cpp
@@ -1,8 +1,11 @@
 #include "configuration/example_document.h"
+#include "core/hash.h"
 #include "ctl/ctl_commands.h"
 #include "standins/platform_standin.h"
 #include "standins/standin_fixture.h"
 
+#include <absl/strings/str_replace.h>
+
 #include <sstream>
 
 namespace waxwing {
@@ -17,6 +20,7 @@
     CPPUNIT_TEST(survivesLostAnswers);
     CPPUNIT_TEST(claimsForceOnlyWhereKnown);
     CPPUNIT_TEST(restoresNewestOfHosts);
+    CPPUNIT_TEST(restoresOnlyWhatHostsRun);
     CPPUNIT_TEST_SUITE_END();
 
     http::test_loop m_loop;
@@ -25,6 +29,7 @@
     std::unique_ptr<standins::blocking_client> m_client;
     std::unique_ptr<http::server> m_host;
     std::string m_hostText;
+    bool m_sendsDocument = true;
     ctl_settings m_settings;
     std::ostringstream m_out;
     std::ostringstream m_errors;
@@ -58,12 +63,15 @@
     {
         const auto answer = [this](const http::request &message, http::responder to) {
             const auto document = nlohmann::json::parse(m_hostText);
-            const nlohmann::json status{
-                {"host", "h1"},
-                {"zone", "a"},
-                {"configuration", {{"revision", document["revision"]}, {"digest", "d"}}}};
-            to.respond(http::jsonResponse(
-                200, message.path == "/v1/configuration" ? m_hostText : status.dump()));
+            const nlohmann::json status{{"host", "h1"},
+                                        {"zone", "a"},
+                                        {"configuration",
+                                         {{"revision", document["revision"]},
+                                          {"digest", formatDigest(stableHash(m_hostText))}}}};
+            if (message.path == "/v1/status")
+                to.respond(http::jsonResponse(200, status.dump()));
+            else
+                to.respond(http::jsonResponse(m_sendsDocument ? 200 : 404, m_hostText));
         };
         m_host = http::server::create(m_loop.base(), {}, answer).value();
         m_settings.hosts.hosts = {m_host->localEndpoint()};
@@ -182,6 +190,25 @@
         CPPUNIT_ASSERT_EQUAL(m_hostText, current().dump());
         assertCode(exit_code::Ok, commands().drain("s3", "2027-05-01T00:00:00Z"));
     }
+
+    /// Guards against a restore that sends another document than the hosts run, when only the
+    /// history of the platform has one of that revision.
+    void restoresOnlyWhatHostsRun()
+    {
+        assertCode(exit_code::Ok, commands().drain("s1", "2027-05-01T00:00:00Z"));
+        startHost();
+        m_hostText = current().dump();
+        m_sendsDocument = false;
+        setFaults({{"restore_version",
+                    {{"kind", "configuration"}, {"name", "current"}, {"version", 1}}}});
+        const auto running =
+            std::exchange(m_hostText, absl::StrReplaceAll(m_hostText, {{"\"test\"", "\"other\""}}));
+        assertCode(exit_code::Refused, commands().restore());
+        CPPUNIT_ASSERT(current()["revision"] == 1);
+        m_hostText = running;
+        assertCode(exit_code::Ok, commands().restore());
+        CPPUNIT_ASSERT_EQUAL(running, current().dump());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ctl_commands_test);
