Mark the function names that nlohmann json dictates

clang-tidy refuses to_json and from_json; the library calls them by these names, which docs/style-exceptions.md allows. The functions and their behaviour are unchanged.

--- a/src/events/event_json.cpp
+++ b/src/events/event_json.cpp
@@ -94,6 +94,9 @@
 
 } // namespace waxwing
 
+// The names of the functions are those that nlohmann json calls.
+// NOLINTBEGIN(readability-identifier-naming)
+
 /// A configuration as its exact text, which is checked again when it is read.
 template<>
 struct nlohmann::adl_serializer<waxwing::configuration_copy>
@@ -133,6 +136,8 @@
     static void from_json(const json & /*source*/, waxwing::stop_requested & /*value*/) { }
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 namespace waxwing {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(platform_finished, attempt, result, parsed)
