--- a/src/bench/slopes_bench.cpp
+++ b/src/bench/slopes_bench.cpp
@@ -47,6 +47,7 @@
 double medianOf(const std::function<double()> &measure)
 {
     std::vector<double> values;
+    values.reserve(repetitions);
     for (int i = 0; i < repetitions; ++i)
         values.push_back(measure());
     return median(values);
