--- a/cmake/waxwing.cmake
+++ b/cmake/waxwing.cmake
@@ -1,7 +1,7 @@
 # Warnings and sanitizers for the project's own code; generated code is compiled without them.
 add_library(waxwing_options INTERFACE)
 target_compile_options(waxwing_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow
-    -Wnon-virtual-dtor -Wold-style-cast -Werror)
+    -Wnon-virtual-dtor -Wold-style-cast -Wzero-as-null-pointer-constant -Werror)
 if(WAXWING_SANITIZE)
     add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all
         -fno-omit-frame-pointer)
