--- a/src/backends/backend_pool.cpp
+++ b/src/backends/backend_pool.cpp
@@ -287,6 +287,14 @@
         ++m_state->version;
 }
 
+void backend_pool::forgetHeldBefore(const server_id &server, const service_id &service,
+                                    const shard_id &shard, const snapshot &oldest)
+{
+    server_record *record = m_state->find(server);
+    if (record != nullptr && record->held.forgetBefore(service, shard, oldest))
+        ++m_state->version;
+}
+
 void backend_pool::setConnectionLimit(const server_id &server, std::uint32_t connections)
 {
     if (server_record *record = m_state->find(server))
--- a/src/backends/backend_pool.h
+++ b/src/backends/backend_pool.h
@@ -104,6 +104,10 @@
     /// Takes over the snapshots that a reply or refusal of the server reported for a shard.
     void onHeld(const server_id &server, const service_id &service, const shard_id &shard,
                 const std::vector<snapshot> &held, time_point now);
+    /// Forgets what the server reported for a shard if all of it is older than `oldest`, so that
+    /// the server counts as one that may hold `oldest`.
+    void forgetHeldBefore(const server_id &server, const service_id &service, const shard_id &shard,
+                          const snapshot &oldest);
     /// A request to the server was not answered within `elapsed`, so another replica's answer was
     /// used. It stays in progress until `onAbandoned`.
     void onOutpaced(const server_id &server, duration elapsed, time_point now);
--- a/src/backends/held_snapshots.cpp
+++ b/src/backends/held_snapshots.cpp
@@ -29,6 +29,18 @@
     return true;
 }
 
+bool held_snapshots::forgetBefore(const service_id &service, const shard_id &shard,
+                                  const snapshot &oldest)
+{
+    return std::erase_if(m_entries,
+                         [&](const entry &known) {
+                             return known.shard == shard && known.service == service
+                                 && std::all_of(known.held.begin(), known.held.end(),
+                                                [&](const snapshot &at) { return at < oldest; });
+                         })
+        != 0;
+}
+
 replica_knowledge held_snapshots::knowledge(const service_id &service, const shard_id &shard,
                                             const snapshot &wanted) const
 {
--- a/src/backends/held_snapshots.h
+++ b/src/backends/held_snapshots.h
@@ -19,6 +19,9 @@
     /// shard. Returns whether it changed anything.
     bool setFromHealth(const leaf_health::held_shard &reported,
                        std::chrono::milliseconds replyOutweighs, time_point now);
+    /// Forgets a report for the shard that has only snapshots older than `oldest`. Returns whether
+    /// there was one.
+    bool forgetBefore(const service_id &service, const shard_id &shard, const snapshot &oldest);
     /// What is known about the snapshot of the shard.
     replica_knowledge knowledge(const service_id &service, const shard_id &shard,
                                 const snapshot &wanted) const;
--- a/src/load/answer_checker.cpp
+++ b/src/load/answer_checker.cpp
@@ -55,6 +55,15 @@
     return nullptr;
 }
 
+std::string describePartial(const search_answer &answer, std::chrono::microseconds latency)
+{
+    std::string missing;
+    for (const auto &shard : answer.coverage.missingShards)
+        missing += ' ' + shard.value;
+    return fmt::format("{}: partial answer of version {} after {} us, missing shards:{}",
+                       answer.service.value, answer.at.version, latency.count(), missing);
+}
+
 } // namespace
 
 answer_checker::answer_checker(const configuration &document)
@@ -65,7 +74,7 @@
 }
 
 void answer_checker::check(const load_query &query, std::string_view body,
-                           load_report &report) const
+                           std::chrono::microseconds latency, load_report &report) const
 {
     const auto answer = readAnswer(body);
     if (!answer) {
@@ -79,7 +88,10 @@
         : static_cast<double>(coverage.documentsSearched)
             / static_cast<double>(coverage.documentsTotal);
     report.coverageMin = std::min(report.coverageMin, share);
-    report.partial += coverage.isWhole() ? 0 : 1;
+    if (!coverage.isWhole()) {
+        ++report.partial;
+        report.addProblem(describePartial(*answer, latency));
+    }
     report.doubled += countDoubled(answer->hits);
     if (const std::string problem = findProblem(query, *answer); !problem.empty()) {
         ++report.wrong;
--- a/src/load/answer_checker.h
+++ b/src/load/answer_checker.h
@@ -5,6 +5,7 @@
 #include "query/search_types.h"
 #include "standins/document_generator.h"
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
@@ -33,8 +34,9 @@
 public:
     explicit answer_checker(const configuration &document);
 
-    /// Checks the body of one answer and adds what it finds to `report`.
-    void check(const load_query &query, std::string_view body, load_report &report) const;
+    /// Checks the body of one answer that took `latency` and adds what it finds to `report`.
+    void check(const load_query &query, std::string_view body, std::chrono::microseconds latency,
+               load_report &report) const;
 
 private:
     /// Service of the document with its generated documents.
--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -142,15 +142,16 @@
     const auto *answer = std::get_if<http::response>(&outcome);
     if (answer != nullptr && answer->status == 200) {
         ++m_report.answered;
-        m_report.latencies.push_back(
-            std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - planned));
-        m_checker.check(query, answer->body, m_report);
+        const auto latency =
+            std::chrono::duration_cast<std::chrono::microseconds>(m_clock.now() - planned);
+        m_report.latencies.push_back(latency);
+        m_checker.check(query, answer->body, latency, m_report);
     } else if (answer != nullptr && (answer->status == 503 || answer->status == 429)) {
         ++m_report.refused;
-        m_report.addProblem("search refused, " + describe(outcome));
+        m_report.addProblem(query.service.value + ": search refused, " + describe(outcome));
     } else {
         ++m_report.failed;
-        m_report.addProblem("search failed, " + describe(outcome));
+        m_report.addProblem(query.service.value + ": search failed, " + describe(outcome));
     }
     finishIfDone();
 }
--- a/src/query/snapshot_selection.cpp
+++ b/src/query/snapshot_selection.cpp
@@ -16,15 +16,16 @@
     { }
 
     /// The newest snapshot that is whole, otherwise the largest, otherwise the newest of those.
-    std::optional<snapshot> best() const
+    std::optional<snapshot> best(bool &whole) const
     {
         std::optional<snapshot> largest;
+        whole = false;
         std::uint64_t mostDocuments = 0;
         for (auto part = m_service.partitionings.rbegin(); part != m_service.partitionings.rend();
              ++part) {
             const auto known = reported(*part);
             for (auto candidate = known.rbegin(); candidate != known.rend(); ++candidate) {
-                bool whole = true;
+                whole = true;
                 const std::uint64_t documents = servable(*part, *candidate, whole);
                 if (whole)
                     return *candidate;
@@ -34,10 +35,52 @@
                 }
             }
         }
+        whole = false;
         return largest;
     }
 
+    /// The oldest snapshot of the partitioning that no server is known to have dropped; empty if
+    /// nothing is reported. Servers that are still being updated most likely hold it.
+    std::optional<snapshot> oldestKept(std::uint32_t generation) const
+    {
+        std::optional<snapshot> kept;
+        for (const shard &piece : partsOf(generation).shards)
+            for (const server_id &replica : piece.replicas) {
+                const auto oldest = oldestReported(piece, replica, generation);
+                if (oldest.has_value() && (!kept.has_value() || *oldest > *kept))
+                    kept = oldest;
+            }
+        return kept;
+    }
+
+    /// Whether every shard has a usable replica that holds or may hold the snapshot.
+    bool isWhole(const snapshot &candidate) const
+    {
+        bool whole = true;
+        servable(partsOf(candidate.partitioning), candidate, whole);
+        return whole;
+    }
+
+    const partitioning &partsOf(std::uint32_t generation) const
+    {
+        return *std::find_if(
+            m_service.partitionings.begin(), m_service.partitionings.end(),
+            [&](const partitioning &parts) { return parts.generation == generation; });
+    }
+
 private:
+    std::optional<snapshot> oldestReported(const shard &piece, const server_id &replica,
+                                           std::uint32_t generation) const
+    {
+        std::optional<snapshot> oldest;
+        if (!m_backends.mayWork(replica, m_wall))
+            return oldest;
+        for (const snapshot &held : m_backends.heldBy(replica, m_service.id, piece.id))
+            if (held.partitioning == generation && (!oldest.has_value() || held < *oldest))
+                oldest = held;
+        return oldest;
+    }
+
     /// Snapshots of the partitioning that any server reported.
     std::set<snapshot> reported(const partitioning &part) const
     {
@@ -91,11 +134,31 @@
     wall_time m_wall;
 };
 
+/// The best snapshot. Where none is known to be whole, the reports of some servers may be older
+/// than those of others: what is older than all that another server holds is forgotten, and
+/// those servers are asked.
+std::optional<snapshot> chooseSnapshot(const service &target, backend_pool &backends,
+                                       time_point now, wall_time wall)
+{
+    const snapshot_choice choice(target, backends, now, wall);
+    bool whole = false;
+    const auto best = choice.best(whole);
+    if (whole || !best.has_value())
+        return best;
+    const auto kept = choice.oldestKept(best->partitioning);
+    if (!kept.has_value())
+        return best;
+    for (const shard &piece : choice.partsOf(kept->partitioning).shards)
+        for (const server_id &replica : piece.replicas)
+            backends.forgetHeldBefore(replica, target.id, piece.id, *kept);
+    return choice.isWhole(*kept) ? kept : best;
+}
+
 } // namespace
 
 std::optional<snapshot>
 snapshot_selection::choose(const std::shared_ptr<const configuration> &document,
-                           const service &target, const backend_pool &backends, time_point now,
+                           const service &target, backend_pool &backends, time_point now,
                            wall_time wall)
 {
     choice &kept = m_choices[target.id];
@@ -103,7 +166,7 @@
         && kept.knowledgeVersion == backends.knowledgeVersion()
         && (!kept.validUntil.has_value() || wall < *kept.validUntil);
     if (!valid) {
-        kept.chosen = snapshot_choice(target, backends, now, wall).best();
+        kept.chosen = chooseSnapshot(target, backends, now, wall);
         kept.document = document;
         kept.knowledgeVersion = backends.knowledgeVersion();
         kept.validUntil = backends.nextDeparture(wall);
--- a/src/query/snapshot_selection.h
+++ b/src/query/snapshot_selection.h
@@ -16,10 +16,11 @@
 class snapshot_selection
 {
 public:
-    /// The snapshot for a new search of the service; empty if no server reported any yet.
+    /// The snapshot for a new search of the service; empty if no server reported any yet. Forgets
+    /// reports of `backends` that seem to be out of date if otherwise no snapshot is whole.
     std::optional<snapshot> choose(const std::shared_ptr<const configuration> &document,
-                                   const service &target, const backend_pool &backends,
-                                   time_point now, wall_time wall);
+                                   const service &target, backend_pool &backends, time_point now,
+                                   wall_time wall);
 
 private:
     struct choice
--- a/tests/load/answer_checker_test.cpp
+++ b/tests/load/answer_checker_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(findsDoubledDocuments);
     CPPUNIT_TEST(findsOverstatedCoverage);
     CPPUNIT_TEST(findsUnreadableAnswers);
+    CPPUNIT_TEST(namesPartialAnswers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -49,11 +50,26 @@
     void findsUnreadableAnswers()
     {
         load_report report;
-        answer_checker(makeDocument()).check(query(), R"({"hits":[)", report);
+        answer_checker(makeDocument()).check(query(), R"({"hits":[)", latency, report);
         CPPUNIT_ASSERT_EQUAL(1U, report.wrong);
     }
 
+    /// Guards against a partial answer that is only counted: without its missing shards and its
+    /// time the cause cannot be found.
+    void namesPartialAnswers()
+    {
+        auto answer = makeAnswer(3);
+        answer["coverage"]["missing_shards"] = {"s2"};
+        const load_report report = check(answer);
+        CPPUNIT_ASSERT_EQUAL(1U, report.partial);
+        const std::string expected =
+            "desk: partial answer of version 3 after 4000 us, missing shards: s2";
+        CPPUNIT_ASSERT_EQUAL(expected, report.problems.front());
+    }
+
 private:
+    static constexpr std::chrono::microseconds latency{4000};
+
     static configuration makeDocument()
     {
         configuration document;
@@ -85,7 +101,7 @@
     static load_report check(const nlohmann::json &answer)
     {
         load_report report;
-        answer_checker(makeDocument()).check(query(), answer.dump(), report);
+        answer_checker(makeDocument()).check(query(), answer.dump(), latency, report);
         return report;
     }
 };
