--- a/src/query/search_progress.cpp
+++ b/src/query/search_progress.cpp
@@ -168,14 +168,14 @@
     });
 }
 
-bool search_progress::restart(search_work &work, running_search &search)
+bool search_progress::restart(search_work &work, running_search &search, std::size_t index)
 {
     const auto usual = search.pace->usual.quantile().value_or(work.state.settings.mergeTime);
     if (search.restarted || work.context.now + usual >= search.deadline)
         return false;
-    const auto at =
-        work.state.selection.choose(search.document, *search.target, work.environment.backends,
-                                    work.context.now, work.context.wall);
+    const auto at = work.state.selection.chooseAfterRefusal(
+        search.document, *search.target, work.environment.backends, search.parts->shards[index],
+        search.at, work.context.now, work.context.wall);
     const partitioning *parts =
         at.has_value() ? findPartitioning(search, at->partitioning) : nullptr;
     if (parts == nullptr || *at == search.at)
@@ -206,7 +206,7 @@
             search_ending::refuse(work, search, query_refusal::snapshotGone());
             return false;
         }
-    } else if (restart(work, search)) {
+    } else if (restart(work, search, index)) {
         return true;
     }
     fan_out(work, search).loseShard(index);
--- a/src/query/search_progress.h
+++ b/src/query/search_progress.h
@@ -31,7 +31,7 @@
     static const partitioning *findPartitioning(const running_search &search,
                                                 std::uint32_t generation);
     static bool isCursorGone(const search_work &work, const running_search &search);
-    static bool restart(search_work &work, running_search &search);
+    static bool restart(search_work &work, running_search &search, std::size_t index);
     static bool onFailureEffect(search_work &work, running_search &search, std::size_t index,
                                 failure_effect consequence);
     static bool isEarlyEnough(const search_work &work, running_search &search);
--- a/src/query/snapshot_selection.cpp
+++ b/src/query/snapshot_selection.cpp
@@ -45,11 +45,16 @@
     {
         std::optional<snapshot> kept;
         for (const shard &piece : partsOf(generation).shards)
-            for (const server_id &replica : piece.replicas) {
-                const auto oldest = oldestReported(piece, replica, generation);
-                if (oldest.has_value() && (!kept.has_value() || *oldest > *kept))
-                    kept = oldest;
-            }
+            kept = std::max(kept, oldestKept(piece, generation));
+        return kept;
+    }
+
+    /// The same for the servers of one shard.
+    std::optional<snapshot> oldestKept(const shard &piece, std::uint32_t generation) const
+    {
+        std::optional<snapshot> kept;
+        for (const server_id &replica : piece.replicas)
+            kept = std::max(kept, oldestReported(piece, replica, generation));
         return kept;
     }
 
@@ -134,6 +139,15 @@
     wall_time m_wall;
 };
 
+/// Forgets the reports that have only snapshots older than `oldest`.
+void forgetBefore(const service &target, const partitioning &parts, backend_pool &backends,
+                  const snapshot &oldest)
+{
+    for (const shard &piece : parts.shards)
+        for (const server_id &replica : piece.replicas)
+            backends.forgetHeldBefore(replica, target.id, piece.id, oldest);
+}
+
 /// The best snapshot. Where none is known to be whole, the reports of some servers may be older
 /// than those of others: what is older than all that another server holds is forgotten, and
 /// those servers are asked.
@@ -148,9 +162,7 @@
     const auto kept = choice.oldestKept(best->partitioning);
     if (!kept.has_value())
         return best;
-    for (const shard &piece : choice.partsOf(kept->partitioning).shards)
-        for (const server_id &replica : piece.replicas)
-            backends.forgetHeldBefore(replica, target.id, piece.id, *kept);
+    forgetBefore(target, choice.partsOf(kept->partitioning), backends, *kept);
     return choice.isWhole(*kept) ? kept : best;
 }
 
@@ -174,6 +186,22 @@
     return kept.chosen;
 }
 
+std::optional<snapshot>
+snapshot_selection::chooseAfterRefusal(const std::shared_ptr<const configuration> &document,
+                                       const service &target, backend_pool &backends,
+                                       const shard &refused, const snapshot &at, time_point now,
+                                       wall_time wall)
+{
+    const snapshot_choice current(target, backends, now, wall);
+    const auto kept = current.oldestKept(refused, at.partitioning);
+    if (kept.has_value() && *kept > at) {
+        forgetBefore(target, current.partsOf(at.partitioning), backends, *kept);
+        if (current.isWhole(*kept))
+            return kept;
+    }
+    return choose(document, target, backends, now, wall);
+}
+
 bool isSnapshotGone(const service_id &service, const shard &part, const snapshot &wanted,
                     const backend_pool &backends, wall_time wall)
 {
--- a/tests/query/version_restart_test.cpp
+++ b/tests/query/version_restart_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(newQueryIsWholeAfterTwoVersions);
     CPPUNIT_TEST(takesTheVersionThatLaggingShardsHold);
     CPPUNIT_TEST(takesTheNewestOfReportsThatDiffer);
+    CPPUNIT_TEST(takesNoVersionThatOnlyOldReportsHave);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,6 +53,20 @@
         }
     }
 
+    /// Guards against a restart on a version that is whole only by the reports that have just
+    /// turned out to be old: every server refuses it, and the search is refused as a whole.
+    void takesNoVersionThatOnlyOldReportsHave()
+    {
+        query_simulation sim(3, 2, 33);
+        sim.warmUp();
+        for (auto &[id, leaf] : sim.leaves)
+            leaf.held = {{1, 4}, {1, 5}};
+        for (const shard &part : sim.current->services[0].partitionings[0].shards)
+            sim.hosts[0]->pool.onHeld(part.replicas[1], {"desk"}, part.id, {{1, 2}, {1, 3}},
+                                      sim.now);
+        CPPUNIT_ASSERT(wholeVersion(sim.search("warm-1")) >= 4);
+    }
+
 private:
     static void checkWholeAfterTwoVersions(const std::string &query)
     {
