Do not refuse a search because a canary server refused the connection

Cause: a refused connection of the canary shard takes a retry from the budget like a lost one; once the budget is used up by a shard without any replica, the search is refused as suspected of a crash. Change: without a retry left, a refused connection loses the shard only, and the next canary is tried; a lost connection is still treated as a suspected crash.

--- a/src/query/fan_out.cpp
+++ b/src/query/fan_out.cpp
@@ -119,7 +119,7 @@
                                                        attempt.server, attempt.sent, now);
     }
     if (needsNextCanary(index, failure.error))
-        return tryNextCanary(index);
+        return tryNextCanary(index, failure.error);
     if (!progress.attempts.empty() || progress.step != step_kind::InProgress)
         return failure_effect::None;
     if (!mayChooseLater(index))
@@ -147,21 +147,26 @@
         && m_search.canary->shard == index;
 }
 
-failure_effect fan_out::tryNextCanary(std::size_t index)
+failure_effect fan_out::tryNextCanary(std::size_t index, leaf_error error)
 {
     // The shards that are not in progress wait for the new canary, which is another shard, so that
     // no shard loses all its replicas to one request.
     shard_progress &progress = m_search.shards[index];
+    // A server that refuses the connection ran nothing: at worst its shard is lost.
+    const bool isRefused = error == leaf_error::NotConnected;
     if (progress.attempts.empty() && progress.step == step_kind::InProgress) {
-        if (!m_search.pace->retries.spend())
-            return failure_effect::Suspected;
-        m_work.context.emit(count_metric{"retries_total", 1});
         progress.step = step_kind::Unsent;
         progress.hedges = 0;
+        if (m_search.pace->retries.spend())
+            m_work.context.emit(count_metric{"retries_total", 1});
+        else if (isRefused)
+            lose(index);
+        else
+            return failure_effect::Suspected;
     }
     if (!m_search.canary.has_value() || m_search.canary->shard == index) {
         const time_point next = m_work.context.now + m_work.state.settings.canaryPause;
-        if (!canary_policy::moveOn(m_work, m_search, next))
+        if (!canary_policy::moveOn(m_work, m_search, next) && !isRefused)
             return failure_effect::Suspected;
     }
     sendUnsent();
--- a/src/query/fan_out.h
+++ b/src/query/fan_out.h
@@ -57,7 +57,7 @@
     void send(std::size_t index, const server_id &server);
     void lose(std::size_t index);
     void abandon(std::size_t index, bool outpaced);
-    failure_effect tryNextCanary(std::size_t index);
+    failure_effect tryNextCanary(std::size_t index, leaf_error error);
     bool needsNextCanary(std::size_t index, leaf_error error) const;
     failure_effect onNoReplica(std::size_t index, bool notHeld);
     void hedge(std::size_t index);
