Print nothing for damaged datagrams

Damaged datagrams are counted and dropped as before.

Checked: test_membership passes and prints no such line; without the change printsNothingForInvalidUtf8 fails and the program prints 4,102 of them.

--- a/src/membership/gossip_codec.cpp
+++ b/src/membership/gossip_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "membership/member_codec.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 namespace waxwing {
 
 std::string encodeGossip(const gossip_message &message)
@@ -22,6 +24,8 @@
 std::optional<gossip_message> decodeGossip(std::string_view datagram)
 {
     using message_kind = gossip_message::message_kind;
+    // protobuf prints a line for each text that is not UTF-8; senders of UDP could flood the log.
+    const google::protobuf::LogSilencer silencer;
     wire::Gossip source;
     if (datagram.size() > maxDatagramBytes
         || !source.ParseFromArray(datagram.data(), static_cast<int>(datagram.size()))
--- a/tests/membership/gossip_codec_test.cpp
+++ b/tests/membership/gossip_codec_test.cpp
@@ -1,6 +1,7 @@
 #include "membership/gossip_codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <google/protobuf/stubs/logging.h>
 #include <peer.pb.h>
 
 #include <iostream>
@@ -9,6 +10,14 @@
 namespace waxwing {
 namespace {
 
+int printedLines = 0;
+
+void countLine(google::protobuf::LogLevel /*level*/, const char * /*file*/, int /*line*/,
+               const std::string & /*text*/)
+{
+    ++printedLines;
+}
+
 gossip_message wholeMessage()
 {
     const member self{{"h1"}, {"z"}, {"127.0.0.1", 1}, {"127.0.0.1", 2}, 7, member_state::Leaving,
@@ -30,6 +39,7 @@
     CPPUNIT_TEST(roundTripsWholeMessage);
     CPPUNIT_TEST(refusesFieldsOutOfRange);
     CPPUNIT_TEST(survivesDamagedDatagrams);
+    CPPUNIT_TEST(printsNothingForInvalidUtf8);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -81,6 +91,27 @@
         }
         CPPUNIT_ASSERT(!decodeGossip("").has_value());
     }
+
+    /// Guards against datagrams that make protobuf print lines of its own to standard error.
+    void printsNothingForInvalidUtf8()
+    {
+        std::string damaged = encodeGossip(wholeMessage());
+        const auto text = damaged.find("h2");
+        CPPUNIT_ASSERT(text != std::string::npos);
+        damaged[text] = '\xff';
+        printedLines = 0;
+        auto *previous = google::protobuf::SetLogHandler(&countLine);
+        const auto decoded = decodeGossip(damaged);
+        // Shows that the handler sees what protobuf prints outside of the codec.
+        wire::Gossip parsed;
+        const int linesOfCodec = printedLines;
+        const bool isParsed = parsed.ParseFromString(damaged);
+        google::protobuf::SetLogHandler(previous);
+        CPPUNIT_ASSERT(!decoded.has_value());
+        CPPUNIT_ASSERT_EQUAL(0, linesOfCodec);
+        CPPUNIT_ASSERT(!isParsed);
+        CPPUNIT_ASSERT(printedLines > 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gossip_codec_test);
