--- a/src/query/fan_out.cpp
+++ b/src/query/fan_out.cpp
@@ -177,8 +177,9 @@
 {
     const query_settings &settings = m_work.state.settings;
     const std::chrono::duration<double> left = m_search.deadline - m_work.context.now;
-    return std::min<duration>(settings.canaryPause, std::chrono::duration_cast<duration>(
-                                                        left * settings.canaryPauseShare));
+    return std::min<duration>(
+        settings.canaryPause,
+        std::chrono::duration_cast<duration>(left * settings.canaryPauseShare));
 }
 
 failure_effect fan_out::onNoReplica(std::size_t index, bool notHeld)
