--- a/tests/command/command_world.h
+++ b/tests/command/command_world.h
@@ -193,7 +193,7 @@
     }
 
     void finishPlatform(const std::shared_ptr<entry_host> &host, std::size_t index, duration delay,
-                        attempt_id attempt, platform_result result)
+                        attempt_id attempt, const platform_result &result)
     {
         later(host, index, delay,
               [host, attempt, result](reduce_context &c, command_environment &environment) {
--- a/tests/configuration/fake_platform.h
+++ b/tests/configuration/fake_platform.h
@@ -28,8 +28,8 @@
             late.push_back(what);
         if (next == fault::LostBefore || next == fault::Late)
             return call_failed{true, "connection lost"};
-        if (next == fault::Stale && !what.value && what.kind == configurationKind && previous)
-            return *previous;
+        if (next == fault::Stale && !what.value && what.kind == configurationKind && m_previous)
+            return *m_previous;
         auto answer = what.value ? write(what) : read(what);
         return next == fault::LostAfter ? call_failed{true, "connection lost"} : answer;
     }
@@ -52,7 +52,7 @@
     int writes = 0;
 
 private:
-    std::optional<found_object> previous;
+    std::optional<found_object> m_previous;
 
     object_answer read(const object_call &what) const
     {
@@ -66,7 +66,7 @@
         if (object.version != what.version)
             return write_conflict{object};
         if (what.kind == configurationKind) {
-            previous = object;
+            m_previous = object;
             ++writes;
         }
         object = {object.version + 1, *what.value};
--- a/tests/distribution/distribution_world.h
+++ b/tests/distribution/distribution_world.h
@@ -49,7 +49,7 @@
         added->self.zone = zone_id{fmt::format("z{}", index % 3)};
         added->self.gossip = endpoint{"gossip", static_cast<std::uint16_t>(index)};
         added->self.peer = endpoint{"peer", static_cast<std::uint16_t>(index)};
-        added->self.incarnation = ++incarnations;
+        added->self.incarnation = ++m_incarnations;
         hosts[index] = added;
         run(index, added, [](entry_host &host, reduce_context &context) {
             host.members.start(context, host.self, {{"gossip", 0}, {"gossip", 1}});
@@ -61,7 +61,7 @@
     void accept()
     {
         history.push_back(makeCopy(history.back().document->revision + 1));
-        const std::vector<action> waiting = std::exchange(watches, {});
+        const std::vector<action> waiting = std::exchange(m_watches, {});
         for (const action &each : waiting)
             each();
     }
@@ -103,7 +103,7 @@
     {
         auto document = std::make_shared<configuration>();
         document->revision = revision;
-        return {document, fmt::format("{}-{}", revision, ++digests), digests};
+        return {document, fmt::format("{}-{}", revision, ++m_digests), m_digests};
     }
 
     void later(std::size_t index, const host_pointer &host, duration delay, step what)
@@ -228,16 +228,16 @@
             reply();
             return;
         }
-        watches.push_back(reply);
+        m_watches.push_back(reply);
         net.after(made.call.timeout, "platform", [this, index, finish] {
             if (!platformDown && !net.isCut(name(index), "platform"))
                 finish(net.between(1, 5), status_kind::NotModified, {}, 0);
         });
     }
 
-    std::vector<action> watches;
-    std::uint64_t incarnations = 0;
-    std::uint64_t digests = 0;
+    std::vector<action> m_watches;
+    std::uint64_t m_incarnations = 0;
+    std::uint64_t m_digests = 0;
 };
 
 } // namespace waxwing
