--- a/src/http/client_core.cpp
+++ b/src/http/client_core.cpp
@@ -1,6 +1,6 @@
 #include "http/client_core.h"
 
-#include "http/evhttp_convert.h"
+#include "http/target.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,9 +8,9 @@
 namespace waxwing::http {
 namespace {
 
-http1::client_pool_settings toPoolSettings(const client_settings &settings)
+client_pool_settings toPoolSettings(const client_settings &settings)
 {
-    http1::client_pool_settings result;
+    client_pool_settings result;
     result.messages.bodyBytes = settings.maxBodyBytes;
     result.connectTimeout = settings.connectTimeout;
     result.idleTimeout = settings.idleTimeout;
@@ -19,24 +19,24 @@
 
 std::string format(const endpoint &peer, const request &message)
 {
-    http1::raw_request result;
+    raw_request result;
     result.method = message.method;
-    result.target = toTarget(message);
+    result.target = formatTarget(message);
     result.headers = {{"Host", peer.toString()}};
     result.headers.insert(result.headers.end(), message.headers.begin(), message.headers.end());
     result.body = message.body;
-    return http1::formatRequest(result);
+    return formatRequest(result);
 }
 
-transport_failure toFailure(http1::call_failure reason, const endpoint &peer)
+transport_failure toFailure(call_failure reason, const endpoint &peer)
 {
     switch (reason) {
-    case http1::call_failure::ConnectFailed:
+    case call_failure::ConnectFailed:
         return {transport_error::ConnectFailed, "cannot connect to " + peer.toString()};
-    case http1::call_failure::NotAccepted:
-    case http1::call_failure::ConnectionLost:
+    case call_failure::NotAccepted:
+    case call_failure::ConnectionLost:
         return {transport_error::ConnectionLost, "the connection broke before the whole response"};
-    case http1::call_failure::Malformed:
+    case call_failure::Malformed:
         break;
     }
     return {transport_error::Malformed, "the response is not HTTP or too large"};
@@ -48,9 +48,7 @@
     : m_base(base), m_settings(settings), m_leftover(event_new(base, -1, 0, onLeftover, this)),
       m_connections(
           base, m_time, toPoolSettings(settings),
-          [this](attempt_id id, http1::client_pool::outcome result) {
-              onEnd(id, std::move(result));
-          },
+          [this](attempt_id id, client_pool::outcome result) { onEnd(id, std::move(result)); },
           nullptr)
 {
     ignoreBrokenPipes();
@@ -105,15 +103,15 @@
     core.finish(id, failure);
 }
 
-void client_core::onEnd(attempt_id id, http1::client_pool::outcome result)
+void client_core::onEnd(attempt_id id, client_pool::outcome result)
 {
     const auto known = m_calls.find(id.value);
     if (known == m_calls.end())
         return;
-    if (auto *response = std::get_if<http1::raw_response>(&result))
+    if (auto *response = std::get_if<raw_response>(&result))
         finish(id, std::move(response->content));
     else
-        finish(id, toFailure(std::get<http1::call_failure>(result), known->second->peer));
+        finish(id, toFailure(std::get<call_failure>(result), known->second->peer));
 }
 
 void client_core::finish(attempt_id id, client::outcome result)
--- a/src/http/client_core.h
+++ b/src/http/client_core.h
@@ -2,8 +2,8 @@
 
 #include "core/clock.h"
 #include "http/client.h"
+#include "http/client_pool.h"
 #include "http/event_ptr.h"
-#include "http1/client_pool.h"
 
 #include <cstdint>
 #include <map>
@@ -12,7 +12,7 @@
 
 namespace waxwing::http {
 
-/// State of a `client`: calls in progress over the connections of an `http1::client_pool`, their
+/// State of a `client`: calls in progress over the connections of an `client_pool`, their
 /// deadlines, and what is left to do on a clean stack.
 class client_core
 {
@@ -46,7 +46,7 @@
 
     static void onTimeout(evutil_socket_t socket, short what, void *call);
     static void onLeftover(evutil_socket_t socket, short what, void *self);
-    void onEnd(attempt_id id, http1::client_pool::outcome result);
+    void onEnd(attempt_id id, client_pool::outcome result);
     void finish(attempt_id id, client::outcome result);
     void complete(client::callback onDone, client::outcome result);
     void runLeftovers();
@@ -61,7 +61,7 @@
     std::map<endpoint, std::size_t> m_limits;
     std::map<endpoint, std::size_t> m_inUse;
     std::vector<completion> m_completions;
-    http1::client_pool m_connections;
+    client_pool m_connections;
     /// Guards against a callback that destroys the client.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/http1/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -1,4 +1,4 @@
-#include "http1/client_pool.h"
+#include "http/client_pool.h"
 
 #include "core/text.h"
 
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 namespace {
 
 /// Interval at which idle connections and slow openings are looked for.
@@ -139,7 +139,7 @@
 {
     const std::string *echoed = target.current->echoField.empty()
         ? nullptr
-        : http::findField(response.content.headers, target.current->echoField);
+        : findField(response.content.headers, target.current->echoField);
     return echoed != nullptr && *echoed != target.current->echoValue;
 }
 
@@ -164,7 +164,7 @@
 
 std::chrono::milliseconds client_pool::idleTimeOf(const raw_response &response) const
 {
-    const std::string *field = http::findField(response.content.headers, "Keep-Alive");
+    const std::string *field = findField(response.content.headers, "Keep-Alive");
     if (field == nullptr)
         return m_settings.idleTimeout;
     constexpr std::string_view prefix = "timeout=";
@@ -298,4 +298,4 @@
     }
 }
 
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/src/http1/client_pool.h
+++ b/src/http/client_pool.h
@@ -3,8 +3,8 @@
 #include "core/clock.h"
 #include "core/endpoint.h"
 #include "core/strong_id.h"
-#include "http1/message_parser.h"
-#include "http1/stream.h"
+#include "http/message_parser.h"
+#include "http/stream.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -17,7 +17,7 @@
 #include <variant>
 #include <vector>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 
 /// Why a call got no response.
 enum class call_failure {
@@ -130,7 +130,7 @@
     absl::flat_hash_map<std::uint64_t, connection *> m_calls;
     /// Closed connections, destroyed outside of their own callbacks.
     connection_list m_closed;
-    http::event_ptr m_sweepTimer;
+    event_ptr m_sweepTimer;
 };
 
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/src/http1/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -1,4 +1,4 @@
-#include "http1/message_parser.h"
+#include "http/message_parser.h"
 
 #include "core/text.h"
 
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 namespace {
 
 /// Return value of a callback that makes http_parser stop with an error.
@@ -43,6 +43,15 @@
     });
 }
 
+/// Whether the bytes begin a start line, with a method in upper case and a target.
+bool namesMethod(std::string_view bytes)
+{
+    const std::size_t end = bytes.find(' ');
+    return end != std::string_view::npos && end > 0 && bytes.substr(end + 1).starts_with('/')
+        && std::all_of(bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(end),
+                       [](char c) { return absl::ascii_isupper(static_cast<unsigned char>(c)); });
+}
+
 } // namespace
 
 message_parser::message_parser(message_kind kind, message_limits limits)
@@ -103,6 +112,8 @@
     const bool failed = !paused && HTTP_PARSER_ERRNO(&m_parser) != HPE_OK;
     if (HTTP_PARSER_ERRNO(&m_parser) == HPE_HEADER_OVERFLOW)
         m_problem = parse_problem::HeaderTooLarge;
+    else if (HTTP_PARSER_ERRNO(&m_parser) == HPE_INVALID_METHOD && namesMethod(bytes))
+        m_problem = parse_problem::UnknownMethod;
     else if (failed || m_parser.upgrade != 0)
         m_problem = parse_problem::Malformed;
     return used;
@@ -135,7 +146,7 @@
 
 bool message_parser::expectsContinue() const
 {
-    const std::string *expectation = http::findField(m_fields, "Expect");
+    const std::string *expectation = findField(m_fields, "Expect");
     return m_hasHeader && !m_complete && expectation != nullptr
         && equalsIgnoringCase(*expectation, "100-continue");
 }
@@ -268,4 +279,4 @@
     return 0;
 }
 
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/src/http1/message_parser.h
+++ b/src/http/message_parser.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http1/message.h"
+#include "http/raw_message.h"
 
 #include <http_parser.h>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 
 /// Largest accepted parts of a message.
 struct message_limits
@@ -27,6 +27,8 @@
     None,
     /// Not well-formed, or framed in a way that two parsers may read differently.
     Malformed,
+    /// The start line names a method that the parser does not know.
+    UnknownMethod,
     /// The header fields are larger than allowed.
     HeaderTooLarge,
     /// The body is larger than allowed.
@@ -90,7 +92,7 @@
     message_limits m_limits;
     http_parser m_parser{};
     std::string m_target;
-    http::header_list m_fields;
+    header_list m_fields;
     std::string m_body;
     std::size_t m_headerBytes = 0;
     /// Length of the header line that is being read, and number of the lines before it.
@@ -105,4 +107,4 @@
     parse_problem m_problem = parse_problem::None;
 };
 
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/src/http1/message.cpp
+++ b/src/http/raw_message.cpp
@@ -1,4 +1,4 @@
-#include "http1/message.h"
+#include "http/raw_message.h"
 
 #include "core/text.h"
 
@@ -11,7 +11,7 @@
 #include <iterator>
 #include <vector>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 namespace {
 
 constexpr std::array<std::string_view, 11> connectionFields{"connection",
@@ -32,7 +32,7 @@
                        [name](std::string_view known) { return equalsIgnoringCase(known, name); });
 }
 
-std::vector<std::string> namedByConnection(const http::header_list &headers)
+std::vector<std::string> namedByConnection(const header_list &headers)
 {
     std::vector<std::string> names;
     for (const auto &[name, value] : headers) {
@@ -51,7 +51,7 @@
     });
 }
 
-void appendFields(std::string &text, const http::header_list &headers)
+void appendFields(std::string &text, const header_list &headers)
 {
     for (const auto &[name, value] : headers)
         text.append(name).append(": ").append(value).append("\r\n");
@@ -77,10 +77,10 @@
 
 } // namespace
 
-http::header_list endToEndFields(const http::header_list &headers)
+header_list endToEndFields(const header_list &headers)
 {
     const std::vector<std::string> named = namedByConnection(headers);
-    http::header_list result;
+    header_list result;
     result.reserve(headers.size());
     for (const auto &field : headers) {
         if (!isConnectionField(field.first) && !contains(named, field.first))
@@ -103,7 +103,7 @@
     return text;
 }
 
-std::string formatResponse(const http::response &message, bool keepAlive, bool headRequest)
+std::string formatResponse(const response &message, bool keepAlive, bool headRequest)
 {
     constexpr int noContent = 204;
     constexpr int notModified = 304;
@@ -121,4 +121,4 @@
     return text;
 }
 
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/src/http1/message.h
+++ b/src/http/raw_message.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 
 /// HTTP request with its target exactly as it was received.
 struct raw_request
@@ -15,7 +15,7 @@
     /// Path and query, not decoded.
     std::string target = "/";
     /// Header fields in the order received.
-    http::header_list headers;
+    header_list headers;
     /// Body without its transfer coding.
     std::string body;
     /// Whether the sender keeps the connection open.
@@ -28,7 +28,7 @@
 struct raw_response
 {
     /// Status, header fields and body without its transfer coding.
-    http::response content;
+    response content;
     /// Whether the sender keeps the connection open.
     bool keepAlive = true;
 
@@ -37,7 +37,7 @@
 
 /// The fields that are not limited to one connection, without `Content-Length` and `Expect`, which
 /// describe how the sender transmits its message.
-http::header_list endToEndFields(const http::header_list &headers);
+header_list endToEndFields(const header_list &headers);
 
 /// Bytes of a request with `Host` among its headers. `Content-Length` is added where there is a
 /// body or the method usually has one.
@@ -45,6 +45,6 @@
 
 /// Bytes of a response with `Content-Length`, and `Connection: close` unless `keepAlive`. The body
 /// is left out in the answer to a `HEAD` request.
-std::string formatResponse(const http::response &message, bool keepAlive, bool headRequest);
+std::string formatResponse(const response &message, bool keepAlive, bool headRequest);
 
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/src/http1/server.cpp
+++ b/src/http/raw_server.cpp
@@ -1,16 +1,17 @@
-#include "http1/server.h"
+#include "http/raw_server.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
 #include <utility>
 #include <vector>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 namespace {
 
 /// Interval at which idle and slow connections are looked for; a fraction of any timeout.
@@ -25,6 +26,8 @@
         return 431;
     case parse_problem::BodyTooLarge:
         return 413;
+    case parse_problem::UnknownMethod:
+        return 501;
     case parse_problem::None:
     case parse_problem::Malformed:
         break;
@@ -32,10 +35,20 @@
     return 400;
 }
 
+endpoint boundEndpoint(evconnlistener *listener)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(evconnlistener_get_fd(listener), reinterpret_cast<sockaddr *>(&address), &size);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    return {text.data(), ntohs(address.sin_port)};
+}
+
 } // namespace
 
 /// Connection of a caller.
-struct server::connection
+struct raw_server::connection
 {
     /// What happens on it.
     enum class step_kind {
@@ -59,6 +72,8 @@
     /// Whether `consume` is at work and takes `early` itself.
     bool consuming = false;
     request_id request;
+    /// Requests that arrived whole.
+    std::uint64_t requests = 0;
     bool keepAlive = true;
     bool isHead = false;
     bool continueSent = false;
@@ -68,11 +83,11 @@
     std::unique_ptr<stream> transport;
 };
 
-absl::StatusOr<std::unique_ptr<server>> server::create(event_base *base, const clock &time,
-                                                       const server_settings &settings,
-                                                       callbacks handlers)
+absl::StatusOr<std::unique_ptr<raw_server>> raw_server::create(event_base *base, const clock &time,
+                                                               const raw_server_settings &settings,
+                                                               callbacks handlers)
 {
-    std::unique_ptr<server> result(new server(base, time, settings, std::move(handlers)));
+    std::unique_ptr<raw_server> result(new raw_server(base, time, settings, std::move(handlers)));
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(settings.listen.port);
@@ -86,47 +101,38 @@
         return absl::UnavailableError("cannot listen on " + settings.listen.toString() + ": "
                                       + std::strerror(errno));
     }
+    result->m_local = boundEndpoint(result->m_listener);
     result->m_sweepTimer.reset(event_new(base, -1, EV_PERSIST, &onSweep, result.get()));
     event_add(result->m_sweepTimer.get(), &sweepInterval);
     return result;
 }
 
-server::server(event_base *base, const clock &time, const server_settings &settings,
-               callbacks handlers)
+raw_server::raw_server(event_base *base, const clock &time, const raw_server_settings &settings,
+                       callbacks handlers)
     : m_base(base), m_time(time), m_settings(settings), m_handlers(std::move(handlers))
 { }
 
-server::~server()
+raw_server::~raw_server()
 {
     if (m_listener != nullptr)
         evconnlistener_free(m_listener);
 }
 
-endpoint server::localEndpoint() const
-{
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&address), &size);
-    std::array<char, INET_ADDRSTRLEN> text{};
-    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
-    return {text.data(), ntohs(address.sin_port)};
-}
-
-void server::setLimits(message_limits messages, std::chrono::milliseconds headerTimeout,
-                       std::chrono::milliseconds idleTimeout)
+void raw_server::setLimits(message_limits messages, std::chrono::milliseconds headerTimeout,
+                           std::chrono::milliseconds idleTimeout)
 {
     m_settings.messages = messages;
     m_settings.headerTimeout = headerTimeout;
     m_settings.idleTimeout = idleTimeout;
 }
 
-void server::onAccept(evconnlistener * /*listener*/, int socket, sockaddr * /*address*/,
-                      int /*size*/, void *self)
+void raw_server::onAccept(evconnlistener * /*listener*/, int socket, sockaddr * /*address*/,
+                          int /*size*/, void *self)
 {
-    static_cast<server *>(self)->accept(socket);
+    static_cast<raw_server *>(self)->accept(socket);
 }
 
-void server::accept(int socket)
+void raw_server::accept(int socket)
 {
     const std::uint64_t number = ++m_lastConnection;
     auto peer = std::make_unique<connection>(number, m_settings.messages, m_time.now());
@@ -139,7 +145,7 @@
     m_connections.emplace(number, std::move(peer));
 }
 
-void server::onBytes(connection &peer, std::string_view bytes)
+void raw_server::onBytes(connection &peer, std::string_view bytes)
 {
     const time_point now = m_time.now();
     peer.lastByte = now;
@@ -155,7 +161,7 @@
     consume(peer, bytes);
 }
 
-void server::consume(connection &peer, std::string_view bytes)
+void raw_server::consume(connection &peer, std::string_view bytes)
 {
     const std::uint64_t number = peer.number;
     std::string early;
@@ -180,10 +186,10 @@
     }
 }
 
-void server::advance(connection &peer)
+void raw_server::advance(connection &peer)
 {
     if (peer.parser.problem() != parse_problem::None) {
-        reject(peer);
+        reject(peer, statusOf(peer.parser.problem()));
         return;
     }
     if (!peer.continueSent && peer.parser.expectsContinue()) {
@@ -194,6 +200,7 @@
         return;
     peer.step = connection::step_kind::Answering;
     peer.request = {++m_lastRequest};
+    ++peer.requests;
     raw_request message = peer.parser.takeRequest();
     peer.keepAlive = message.keepAlive;
     peer.isHead = message.method == "HEAD";
@@ -201,16 +208,16 @@
     m_handlers.onRequest(peer.request, std::move(message));
 }
 
-void server::reject(connection &peer)
+void raw_server::reject(connection &peer, int status)
 {
-    const parse_problem problem = peer.parser.problem();
-    peer.transport->write(formatResponse({statusOf(problem), {}, {}}, false, false));
+    response answer{status, {}, {}};
     if (m_handlers.onRejected)
-        m_handlers.onRejected(problem);
+        m_handlers.onRejected(answer);
+    peer.transport->write(formatResponse(answer, false, false));
     linger(peer);
 }
 
-void server::linger(connection &peer)
+void raw_server::linger(connection &peer)
 {
     peer.step = connection::step_kind::Lingering;
     peer.lastByte = m_time.now();
@@ -218,7 +225,7 @@
     peer.transport->finishWriting();
 }
 
-void server::respond(request_id id, const http::response &answer, bool close)
+void raw_server::respond(request_id id, const response &answer, bool close)
 {
     const auto waiting = m_waiting.find(id.value);
     if (waiting == m_waiting.end())
@@ -240,14 +247,20 @@
         consume(peer, std::exchange(peer.early, {}));
 }
 
-void server::drop(request_id id)
+bool raw_server::isFirstOnConnection(request_id id) const
+{
+    const auto waiting = m_waiting.find(id.value);
+    return waiting != m_waiting.end() && m_connections.at(waiting->second)->requests == 1;
+}
+
+void raw_server::drop(request_id id)
 {
     const auto waiting = m_waiting.find(id.value);
     if (waiting != m_waiting.end())
         close(waiting->second);
 }
 
-void server::onEnd(std::uint64_t number)
+void raw_server::onEnd(std::uint64_t number)
 {
     const auto found = m_connections.find(number);
     if (found == m_connections.end())
@@ -259,7 +272,7 @@
         m_handlers.onGone(request);
 }
 
-void server::close(std::uint64_t number)
+void raw_server::close(std::uint64_t number)
 {
     const auto found = m_connections.find(number);
     if (found == m_connections.end())
@@ -269,25 +282,33 @@
     m_connections.erase(found);
 }
 
-void server::closeAfterAnswers()
+std::size_t raw_server::connections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+            return entry.second->step != connection::step_kind::Lingering;
+        }));
+}
+
+void raw_server::closeAfterAnswers()
 {
     m_closing = true;
 }
 
-void server::stopAccepting()
+void raw_server::stopAccepting()
 {
     m_closing = true;
-    m_accepting = false;
-    evconnlistener_disable(m_listener);
+    if (m_listener != nullptr)
+        evconnlistener_free(std::exchange(m_listener, nullptr));
     sweep();
 }
 
-void server::onSweep(int /*socket*/, short /*events*/, void *self)
+void raw_server::onSweep(int /*socket*/, short /*events*/, void *self)
 {
-    static_cast<server *>(self)->sweep();
+    static_cast<raw_server *>(self)->sweep();
 }
 
-bool server::isOverdue(const connection &peer, time_point now) const
+bool raw_server::isOverdue(const connection &peer, time_point now) const
 {
     switch (peer.step) {
     case connection::step_kind::Answering:
@@ -300,13 +321,16 @@
         break;
     }
     if (!peer.parser.hasBegun())
-        return !m_accepting || now - peer.lastByte > m_settings.idleTimeout;
+        return (m_listener == nullptr && peer.transport->isQuiet())
+            || now - peer.lastByte > m_settings.idleTimeout;
+    if (m_settings.arrivalTimeout && now - peer.requestBegan > *m_settings.arrivalTimeout)
+        return true;
     if (!peer.parser.hasHeader())
         return now - peer.requestBegan > m_settings.headerTimeout;
     return now - peer.lastByte > m_settings.idleTimeout;
 }
 
-void server::sweep()
+void raw_server::sweep()
 {
     const time_point now = m_time.now();
     std::vector<std::uint64_t> overdue;
@@ -319,12 +343,12 @@
         const bool incomplete =
             peer.step == connection::step_kind::Reading && peer.parser.hasBegun();
         if (incomplete) {
-            peer.transport->write(formatResponse({408, {}, {}}, false, false));
-            linger(peer);
+            constexpr int requestTimeout = 408;
+            reject(peer, requestTimeout);
         } else {
             close(number);
         }
     }
 }
 
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/src/http1/server.h
+++ b/src/http/raw_server.h
@@ -3,8 +3,8 @@
 #include "core/clock.h"
 #include "core/endpoint.h"
 #include "core/strong_id.h"
-#include "http1/message_parser.h"
-#include "http1/stream.h"
+#include "http/message_parser.h"
+#include "http/stream.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/statusor.h>
@@ -14,11 +14,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 
-/// Limits of a `server`.
-struct server_settings
+/// Limits of a `raw_server`.
+struct raw_server_settings
 {
     /// Address to listen on; port 0 lets the system choose.
     endpoint listen{"127.0.0.1", 0};
@@ -26,6 +27,9 @@
     message_limits messages{};
     /// Time in which the header of a request must arrive once it has begun.
     std::chrono::milliseconds headerTimeout{5000};
+    /// Time in which a request that has begun must arrive whole. Without it a body may take any
+    /// time as long as bytes arrive.
+    std::optional<std::chrono::milliseconds> arrivalTimeout{};
     /// Time without a byte after which a connection without a request is closed, and a request
     /// whose body does not arrive is given up.
     std::chrono::milliseconds idleTimeout{60000};
@@ -37,14 +41,14 @@
     /// Detection of peers that have gone.
     stream_settings connections{};
 
-    bool operator==(const server_settings &) const = default;
+    bool operator==(const raw_server_settings &) const = default;
 };
 
 /// HTTP/1.1 server for requests that are passed on as they are.
 ///
 /// One request at a time is handled on a connection; a request that follows early waits. A peer
 /// that goes away while its request waits is reported.
-class server
+class raw_server
 {
 public:
     /// Callbacks, called from the loop.
@@ -54,18 +58,21 @@
         std::function<void(request_id, raw_request)> onRequest;
         /// The peer of an unanswered request went away. `respond` does nothing for it any more.
         std::function<void(request_id)> onGone;
-        /// Status of the answer that a request which cannot be read gets.
-        std::function<void(parse_problem)> onRejected;
+        /// A request that cannot be read is about to get `answer`, whose status is set; what it
+        /// says can be added. May be empty.
+        std::function<void(response &answer)> onRejected;
     };
 
     /// Listens at once. `time` must outlive the server.
-    static absl::StatusOr<std::unique_ptr<server>> create(event_base *base, const clock &time,
-                                                          const server_settings &settings,
-                                                          callbacks handlers);
-    ~server();
+    static absl::StatusOr<std::unique_ptr<raw_server>> create(event_base *base, const clock &time,
+                                                              const raw_server_settings &settings,
+                                                              callbacks handlers);
+    ~raw_server();
 
     /// Answers a request. With `close` the connection ends after the answer.
-    void respond(request_id id, const http::response &answer, bool close = false);
+    void respond(request_id id, const response &answer, bool close = false);
+    /// Whether the unanswered request is the first one on its connection.
+    bool isFirstOnConnection(request_id id) const;
     /// Ends the connection of a request without an answer.
     void drop(request_id id);
     /// Changes the limits for requests that begin later.
@@ -73,18 +80,20 @@
                    std::chrono::milliseconds idleTimeout);
     /// Closes every connection with its next answer.
     void closeAfterAnswers();
-    /// Stops accepting and closes the connections that have no request.
+    /// Closes the listener and the connections that have no request. Requests that have begun to
+    /// arrive are still handled.
     void stopAccepting();
-    /// Open connections.
-    std::size_t connections() const { return m_connections.size(); }
+    /// Connections that may still carry a request. Those that have their last answer and wait for
+    /// the peer to close do not count.
+    std::size_t connections() const;
     /// The address that is bound, with the port that the system chose.
-    endpoint localEndpoint() const;
+    endpoint localEndpoint() const { return m_local; }
 
 private:
     struct connection;
 
-    server(event_base *base, const clock &time, const server_settings &settings,
-           callbacks handlers);
+    raw_server(event_base *base, const clock &time, const raw_server_settings &settings,
+               callbacks handlers);
     static void onAccept(evconnlistener *listener, int socket, sockaddr *address, int size,
                          void *self);
     static void onSweep(int socket, short events, void *self);
@@ -92,7 +101,7 @@
     void onBytes(connection &peer, std::string_view bytes);
     void consume(connection &peer, std::string_view bytes);
     void advance(connection &peer);
-    void reject(connection &peer);
+    void reject(connection &peer, int status);
     void linger(connection &peer);
     void onEnd(std::uint64_t number);
     void close(std::uint64_t number);
@@ -101,17 +110,17 @@
 
     event_base *m_base;
     const clock &m_time;
-    server_settings m_settings;
+    raw_server_settings m_settings;
     callbacks m_handlers;
     bool m_closing = false;
-    bool m_accepting = true;
     std::uint64_t m_lastConnection = 0;
     std::uint64_t m_lastRequest = 0;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<connection>> m_connections;
     /// Connections by the request that they wait for.
     absl::flat_hash_map<std::uint64_t, std::uint64_t> m_waiting;
     evconnlistener *m_listener = nullptr;
-    http::event_ptr m_sweepTimer;
+    endpoint m_local;
+    event_ptr m_sweepTimer;
 };
 
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/strong_id.h"
 #include "http/message.h"
 
 #include <absl/status/statusor.h>
@@ -23,7 +24,7 @@
     std::size_t maxBodyBytes = std::size_t{64} * 1024;
     /// Largest accepted header block, in bytes.
     std::size_t maxHeaderBytes = std::size_t{16} * 1024;
-    /// Time after which an idle or slow connection is closed. evhttp has one timeout for both.
+    /// Time after which an idle connection is closed.
     std::chrono::seconds idleTimeout{60};
     /// Time in which a request that has begun must arrive whole; then it is answered with 408.
     std::chrono::milliseconds requestTimeout{5000};
@@ -38,7 +39,7 @@
 class responder
 {
 public:
-    explicit responder(std::shared_ptr<struct pending_request> pending);
+    responder(std::weak_ptr<server_core> core, request_id id);
     responder(responder &&) noexcept;
     responder &operator=(responder &&) noexcept;
     ~responder();
@@ -53,10 +54,13 @@
     void onDisconnect(std::function<void()> callback);
 
 private:
-    std::shared_ptr<struct pending_request> m_pending;
+    /// Expired once the request is answered.
+    std::weak_ptr<server_core> m_core;
+    request_id m_id;
 };
 
-/// HTTP/1.1 server on a libevent loop.
+/// HTTP/1.1 server on a libevent loop. Rejects what `message_parser` rejects, with a problem
+/// document, and closes the connection.
 class server
 {
 public:
@@ -74,12 +78,12 @@
     void beginDrain();
     /// Requests received and not yet answered.
     std::size_t requestsInProgress() const;
-    /// Open connections, idle ones included.
+    /// Open connections, idle ones included, except those that have their last answer.
     std::size_t connections() const;
 
 private:
-    explicit server(std::unique_ptr<server_core> core);
-    std::unique_ptr<server_core> m_core;
+    explicit server(std::shared_ptr<server_core> core);
+    std::shared_ptr<server_core> m_core;
 };
 
 } // namespace waxwing::http
--- a/src/http/server_core.cpp
+++ b/src/http/server_core.cpp
@@ -1,118 +1,129 @@
 #include "http/server_core.h"
 
-#include "http/evhttp_convert.h"
+#include "http/event_ptr.h"
+#include "http/target.h"
 
-#include <arpa/inet.h>
-#include <event2/http.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
+#include <fmt/chrono.h>
 
 #include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
 
 namespace waxwing::http {
 namespace {
 
-endpoint boundEndpoint(evutil_socket_t socket, const endpoint &requested)
-{
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    if (getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size) != 0)
-        return requested;
-    return {requested.address, ntohs(address.sin_port)};
-}
+constexpr std::array<std::string_view, 4> allowedMethods{"GET", "POST", "PUT", "DELETE"};
 
-} // namespace
-
-server_core::server_core(event_base *base, const server_settings &settings,
-                         server::handler onRequest)
-    : m_base(base), m_settings(settings), m_handler(std::move(onRequest)), m_http(evhttp_new(base))
+raw_server_settings toRawSettings(const server_settings &settings)
 {
-    ignoreBrokenPipes();
-    evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(settings.maxHeaderBytes));
-    evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(settings.maxBodyBytes));
-    evhttp_set_timeout(m_http, static_cast<int>(settings.idleTimeout.count()));
-    evhttp_set_default_content_type(m_http, nullptr);
-    // Every known method reaches the handler, so that 405 is answered with a problem document.
-    evhttp_set_allowed_methods(m_http, 0x1FF);
-    evhttp_set_bevcb(m_http, onAccept, this);
-    evhttp_set_gencb(m_http, server_core::onRequest, this);
+    raw_server_settings result;
+    result.listen = settings.listen;
+    result.messages = {settings.maxHeaderBytes, settings.maxBodyBytes};
+    result.headerTimeout = settings.requestTimeout;
+    result.arrivalTimeout = settings.requestTimeout;
+    result.idleTimeout = settings.idleTimeout;
+    return result;
 }
 
-server_core::~server_core()
+/// Reason given to the sender of a request that cannot be read.
+refusal toRefusal(int status)
 {
-    m_closing = true;
-    evhttp_free(m_http);
+    switch (status) {
+    case 408:
+        return {status, "request-timeout", "the request did not arrive whole in time"};
+    case 413:
+        return {status, "body-too-large", "the body is over the limit"};
+    case 431:
+        return {status, "headers-too-large", "the header block is over the limit"};
+    case 501:
+        return {status, "method-not-implemented", "the method is unknown"};
+    default:
+        return {status, "malformed-request", "the request is not valid HTTP"};
+    }
 }
 
-absl::Status server_core::listen()
+std::string formatDate(wall_time now)
 {
-    m_socket = evhttp_bind_socket_with_handle(m_http, m_settings.listen.address.c_str(),
-                                              m_settings.listen.port);
-    if (m_socket == nullptr)
-        return absl::UnavailableError("cannot listen on " + m_settings.listen.toString());
-    m_local = boundEndpoint(evhttp_bound_socket_get_fd(m_socket), m_settings.listen);
-    return absl::OkStatus();
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(now);
+    return fmt::format("{:%a, %d %b %Y %H:%M:%S} GMT",
+                       fmt::gmtime(std::chrono::system_clock::to_time_t(seconds)));
 }
 
-endpoint server_core::localEndpoint() const
+} // namespace
+
+server_core::server_core(server::handler onRequest) : m_handler(std::move(onRequest)) { }
+
+absl::Status server_core::listen(event_base *base, const server_settings &settings)
 {
-    return m_local;
+    ignoreBrokenPipes();
+    auto created = raw_server::create(
+        base, m_time, toRawSettings(settings),
+        {[this](request_id id, raw_request received) { handle(id, std::move(received)); },
+         [this](request_id id) { onGone(id); },
+         [](response &answer) { answer = problemResponse(toRefusal(answer.status)); }});
+    if (!created.ok())
+        return created.status();
+    m_connections = *std::move(created);
+    return absl::OkStatus();
 }
 
-void server_core::beginDrain()
+void server_core::handle(request_id id, raw_request received)
 {
-    if (m_draining)
+    m_unanswered.emplace(id.value, nullptr);
+    responder answer(weak_from_this(), id);
+    if (std::ranges::find(allowedMethods, received.method) == allowedMethods.end()) {
+        response problem = problemResponse(
+            {405, "method-not-allowed", "allowed methods are GET, POST, PUT and DELETE"});
+        problem.headers.emplace_back("Allow", "GET, POST, PUT, DELETE");
+        answer.respond(problem);
+        return;
+    }
+    auto target = parseTarget(received.target);
+    if (!target) {
+        answer.respond(problemResponse({400, "malformed-request", "the target is not valid"}));
         return;
-    m_draining = true;
-    evhttp_del_accept_socket(m_http, m_socket);
-    // Closing a connection removes it from the list.
-    for (auto next = m_connections.begin(); next != m_connections.end();) {
-        server_connection &connection = *next->second;
-        ++next;
-        connection.closeIfIdle();
     }
+    request message;
+    message.method = std::move(received.method);
+    message.path = std::move(target->path);
+    message.query = std::move(target->query);
+    message.headers = std::move(received.headers);
+    message.body = std::move(received.body);
+    m_handler(std::move(message), std::move(answer));
 }
 
-std::size_t server_core::requestsInProgress() const
+void server_core::respond(request_id id, response answer)
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_connections.begin(), m_connections.end(),
-                      [](const auto &entry) { return entry.second->current() != nullptr; }));
+    if (m_unanswered.erase(id.value) == 0)
+        return;
+    answer.headers.emplace_back("Date", formatDate(m_time.wallNow()));
+    m_connections->respond(id, answer);
 }
 
-void server_core::forget(bufferevent *connection)
+void server_core::drop(request_id id)
 {
-    m_connections.erase(connection);
+    if (m_unanswered.erase(id.value) != 0)
+        m_connections->drop(id);
 }
 
-bufferevent *server_core::onAccept(event_base *, void *self)
+bool server_core::isFirstOnConnection(request_id id) const
 {
-    auto &core = *static_cast<server_core *>(self);
-    auto connection = std::make_unique<server_connection>(core);
-    bufferevent *buffered = connection->buffered();
-    core.m_connections.emplace(buffered, std::move(connection));
-    return buffered;
+    return m_connections->isFirstOnConnection(id);
 }
 
-void server_core::onRequest(evhttp_request *received, void *self)
+void server_core::setOnDisconnect(request_id id, std::function<void()> callback)
 {
-    static_cast<server_core *>(self)->handle(received);
+    const auto found = m_unanswered.find(id.value);
+    if (found != m_unanswered.end())
+        found->second = std::move(callback);
 }
 
-void server_core::handle(evhttp_request *received)
+void server_core::onGone(request_id id)
 {
-    bufferevent *buffered =
-        evhttp_connection_get_bufferevent(evhttp_request_get_connection(received));
-    responder answer(m_connections.at(buffered)->start(received));
-    std::optional<request> message = toRequest(received);
-    if (message) {
-        m_handler(std::move(*message), std::move(answer));
-        return;
-    }
-    response problem = problemResponse(
-        {405, "method-not-allowed", "allowed methods are GET, POST, PUT and DELETE"});
-    problem.headers.emplace_back("Allow", "GET, POST, PUT, DELETE");
-    answer.respond(problem);
+    const auto found = m_unanswered.extract(id.value);
+    if (!found.empty() && found.mapped())
+        found.mapped()();
 }
 
 } // namespace waxwing::http
--- a/src/http/server_core.h
+++ b/src/http/server_core.h
@@ -1,58 +1,51 @@
 #pragma once
 
+#include "core/clock.h"
+#include "http/raw_server.h"
 #include "http/server.h"
-#include "http/server_connection.h"
 
-#include <unordered_map>
-
-struct evhttp;
-struct evhttp_bound_socket;
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
 
 namespace waxwing::http {
 
-/// State of a `server`: the evhttp server, its connections and its requests in progress.
-class server_core
+/// State of a `server`, which its responders may outlive: the connections and the requests that are
+/// not answered yet.
+class server_core : public std::enable_shared_from_this<server_core>
 {
 public:
-    server_core(event_base *base, const server_settings &settings, server::handler onRequest);
-    ~server_core();
+    explicit server_core(server::handler onRequest);
 
     /// Binds the address of the settings.
-    absl::Status listen();
-    /// See `server::localEndpoint`.
-    endpoint localEndpoint() const;
+    absl::Status listen(event_base *base, const server_settings &settings);
+    /// See `responder::respond`.
+    void respond(request_id id, response answer);
+    /// See `responder::drop`.
+    void drop(request_id id);
+    /// See `responder::isFirstOnConnection`.
+    bool isFirstOnConnection(request_id id) const;
+    /// See `responder::onDisconnect`.
+    void setOnDisconnect(request_id id, std::function<void()> callback);
     /// See `server::beginDrain`.
-    void beginDrain();
+    void beginDrain() { m_connections->stopAccepting(); }
+    /// See `server::localEndpoint`.
+    endpoint localEndpoint() const { return m_connections->localEndpoint(); }
     /// See `server::requestsInProgress`.
-    std::size_t requestsInProgress() const;
+    std::size_t requestsInProgress() const { return m_unanswered.size(); }
     /// See `server::connections`.
-    std::size_t connections() const { return m_connections.size(); }
-
-    /// Loop of the server.
-    event_base *base() const { return m_base; }
-    /// Limits.
-    const server_settings &settings() const { return m_settings; }
-    /// Whether `beginDrain` was called.
-    bool isDraining() const { return m_draining; }
-    /// Whether the server is being destroyed; peers are not reported as disconnected then.
-    bool isClosing() const { return m_closing; }
-    /// Forgets a closed connection, which is destroyed.
-    void forget(bufferevent *connection);
+    std::size_t connections() const { return m_connections->connections(); }
 
 private:
-    static bufferevent *onAccept(event_base *base, void *self);
-    static void onRequest(evhttp_request *received, void *self);
-    void handle(evhttp_request *received);
+    void handle(request_id id, raw_request received);
+    void onGone(request_id id);
 
-    event_base *m_base;
-    server_settings m_settings;
+    system_clock m_time;
     server::handler m_handler;
-    evhttp *m_http;
-    evhttp_bound_socket *m_socket = nullptr;
-    endpoint m_local;
-    bool m_draining = false;
-    bool m_closing = false;
-    std::unordered_map<bufferevent *, std::unique_ptr<server_connection>> m_connections;
+    /// What is called when the peer of an unanswered request goes away; may be empty.
+    std::map<std::uint64_t, std::function<void()>> m_unanswered;
+    std::unique_ptr<raw_server> m_connections;
 };
 
 } // namespace waxwing::http
--- a/src/http1/stream.cpp
+++ b/src/http/stream.cpp
@@ -1,4 +1,4 @@
-#include "http1/stream.h"
+#include "http/stream.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -9,7 +9,7 @@
 #include <array>
 #include <cerrno>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 namespace {
 
 /// Bytes read at a time; larger than most messages, so that one system call reads a whole one.
@@ -195,4 +195,4 @@
     report(reason);
 }
 
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/src/http1/stream.h
+++ b/src/http/stream.h
@@ -8,7 +8,7 @@
 #include <functional>
 #include <string_view>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 
 /// How a connection ended.
 enum class stream_end {
@@ -85,9 +85,9 @@
 
     int m_socket;
     callbacks m_handlers;
-    http::event_ptr m_read;
-    http::event_ptr m_write;
-    http::evbuffer_ptr m_unsent;
+    event_ptr m_read;
+    event_ptr m_write;
+    evbuffer_ptr m_unsent;
     bool m_connected = false;
     bool m_finishing = false;
     /// Whether a write failed, so that an end of the stream may have cut what was read.
@@ -95,4 +95,4 @@
     bool m_ended = false;
 };
 
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/src/relay_host/leaf_client.cpp
+++ b/src/relay_host/leaf_client.cpp
@@ -5,16 +5,16 @@
 namespace waxwing::relay {
 namespace {
 
-leaf_failure toLeafFailure(http1::call_failure reason)
+leaf_failure toLeafFailure(http::call_failure reason)
 {
     switch (reason) {
-    case http1::call_failure::ConnectFailed:
+    case http::call_failure::ConnectFailed:
         return leaf_failure::NotSent;
-    case http1::call_failure::NotAccepted:
+    case http::call_failure::NotAccepted:
         return leaf_failure::NotAccepted;
-    case http1::call_failure::ConnectionLost:
+    case http::call_failure::ConnectionLost:
         return leaf_failure::ConnectionLost;
-    case http1::call_failure::Malformed:
+    case http::call_failure::Malformed:
         return leaf_failure::Malformed;
     }
     return leaf_failure::ConnectionLost;
@@ -23,12 +23,12 @@
 } // namespace
 
 leaf_client::leaf_client(event_base *base, const clock &time,
-                         const http1::client_pool_settings &settings, const wire_codec &codec,
+                         const http::client_pool_settings &settings, const wire_codec &codec,
                          metrics_registry &metrics, relay_event_sink onEvent)
     : m_codec(codec), m_onEvent(std::move(onEvent)),
       m_connections(
           base, time, settings,
-          [this](attempt_id attempt, http1::client_pool::outcome outcome) {
+          [this](attempt_id attempt, http::client_pool::outcome outcome) {
               report(attempt, std::move(outcome));
           },
           [&metrics](const endpoint & /*peer*/) { metrics.count("relay_leaf_connections_total"); })
@@ -49,12 +49,12 @@
     m_connections.forget(action.address);
 }
 
-void leaf_client::report(attempt_id attempt, http1::client_pool::outcome outcome)
+void leaf_client::report(attempt_id attempt, http::client_pool::outcome outcome)
 {
-    if (auto *response = std::get_if<http1::raw_response>(&outcome))
+    if (auto *response = std::get_if<http::raw_response>(&outcome))
         m_onEvent(leaf_answered{attempt, m_codec.readLeafReply(std::move(*response))});
     else
-        m_onEvent(leaf_failed{attempt, toLeafFailure(std::get<http1::call_failure>(outcome))});
+        m_onEvent(leaf_failed{attempt, toLeafFailure(std::get<http::call_failure>(outcome))});
 }
 
 } // namespace waxwing::relay
--- a/src/relay_host/leaf_client.h
+++ b/src/relay_host/leaf_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http1/client_pool.h"
+#include "http/client_pool.h"
 #include "relay_host/relay_loop.h"
 #include "relay_host/wire_codec.h"
 #include "telemetry/metrics_registry.h"
@@ -12,7 +12,7 @@
 {
 public:
     /// All references must outlive the client.
-    leaf_client(event_base *base, const clock &time, const http1::client_pool_settings &settings,
+    leaf_client(event_base *base, const clock &time, const http::client_pool_settings &settings,
                 const wire_codec &codec, metrics_registry &metrics, relay_event_sink onEvent);
 
     /// Ends with `leaf_answered` or `leaf_failed`.
@@ -23,11 +23,11 @@
     void carryOut(const forget_address &action);
 
 private:
-    void report(attempt_id attempt, http1::client_pool::outcome outcome);
+    void report(attempt_id attempt, http::client_pool::outcome outcome);
 
     const wire_codec &m_codec;
     relay_event_sink m_onEvent;
-    http1::client_pool m_connections;
+    http::client_pool m_connections;
 };
 
 } // namespace waxwing::relay
--- a/src/relay_host/relay_front.cpp
+++ b/src/relay_host/relay_front.cpp
@@ -7,19 +7,19 @@
 relay_front::relay_front(const wire_codec &codec) : m_codec(codec) { }
 
 absl::StatusOr<std::unique_ptr<relay_front>>
-relay_front::create(event_base *base, const clock &time, const http1::server_settings &settings,
+relay_front::create(event_base *base, const clock &time, const http::raw_server_settings &settings,
                     const wire_codec &codec, metrics_registry &metrics,
                     const relay_event_sink &onEvent)
 {
     std::unique_ptr<relay_front> result(new relay_front(codec));
-    auto server = http1::server::create(
+    auto server = http::raw_server::create(
         base, time, settings,
-        {[&codec, onEvent](request_id id, http1::raw_request message) {
+        {[&codec, onEvent](request_id id, http::raw_request message) {
              onEvent(request_received{
                  id, std::make_shared<const relay_request>(codec.readRequest(std::move(message)))});
          },
          [onEvent](request_id id) { onEvent(caller_gone{id}); },
-         [&metrics](http1::parse_problem /*problem*/) {
+         [&metrics](http::response & /*answer*/) {
              metrics.count("relay_unreadable_requests_total");
          }});
     if (!server.ok())
--- a/src/relay_host/relay_front.h
+++ b/src/relay_host/relay_front.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http1/server.h"
+#include "http/raw_server.h"
 #include "relay_host/relay_loop.h"
 #include "relay_host/wire_codec.h"
 #include "telemetry/metrics_registry.h"
@@ -17,7 +17,7 @@
 public:
     /// Listens at once. All references must outlive the front.
     static absl::StatusOr<std::unique_ptr<relay_front>>
-    create(event_base *base, const clock &time, const http1::server_settings &settings,
+    create(event_base *base, const clock &time, const http::raw_server_settings &settings,
            const wire_codec &codec, metrics_registry &metrics, const relay_event_sink &onEvent);
 
     /// Answers a request.
@@ -35,7 +35,7 @@
     explicit relay_front(const wire_codec &codec);
 
     const wire_codec &m_codec;
-    std::unique_ptr<http1::server> m_server;
+    std::unique_ptr<http::raw_server> m_server;
 };
 
 } // namespace waxwing::relay
--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -72,7 +72,7 @@
         m_base, m_time, relay_state::create(m_settings.decisions),
         [this](const relay_effect &action) { carryOut(action); }, nullptr);
     const relay_event_sink sink = [this](relay_event_body body) { m_loop->post(std::move(body)); };
-    m_leaves = std::make_unique<leaf_client>(m_base, m_time, http1::client_pool_settings{}, m_codec,
+    m_leaves = std::make_unique<leaf_client>(m_base, m_time, http::client_pool_settings{}, m_codec,
                                              m_metrics, sink);
     store_client_settings store;
     store.address = m_settings.store;
@@ -97,7 +97,7 @@
 absl::Status relay_process::openPorts()
 {
     const relay_event_sink sink = [this](relay_event_body body) { m_loop->post(std::move(body)); };
-    http1::server_settings callers;
+    http::raw_server_settings callers;
     callers.listen = m_settings.listen.callers;
     auto front = relay_front::create(m_base, m_time, callers, m_codec, m_metrics, sink);
     if (!front.ok())
@@ -132,11 +132,11 @@
         return gossip.status();
     m_gossip = *std::move(gossip);
 
-    http1::server_settings peers;
+    http::raw_server_settings peers;
     peers.listen = m_settings.listen.gossip;
-    auto questions = http1::server::create(
+    auto questions = http::raw_server::create(
         m_base, m_time, peers,
-        {[this](request_id id, const http1::raw_request &message) { onPeerRequest(id, message); },
+        {[this](request_id id, const http::raw_request &message) { onPeerRequest(id, message); },
          [sink](request_id id) { sink(peer_gone{id}); },
          {}});
     if (!questions.ok())
@@ -145,7 +145,7 @@
     return absl::OkStatus();
 }
 
-void relay_process::onPeerRequest(request_id id, const http1::raw_request &message)
+void relay_process::onPeerRequest(request_id id, const http::raw_request &message)
 {
     constexpr int badRequest = 400;
     if (auto call = m_codec.readStoreCall(message))
--- a/src/relay_host/relay_process.h
+++ b/src/relay_host/relay_process.h
@@ -42,7 +42,7 @@
     void respondToProbe(const http::request &message, http::responder reply) const;
     void respondToObserver(const http::request &message, http::responder reply) const;
     void reload();
-    void onPeerRequest(request_id id, const http1::raw_request &message);
+    void onPeerRequest(request_id id, const http::raw_request &message);
     void exitSoon();
     static void onFlush(int socket, short events, void *self);
     static void onHangup(int signal, short events, void *self);
@@ -63,7 +63,7 @@
     std::unique_ptr<http::server> m_ready;
     std::unique_ptr<http::server> m_observers;
     std::unique_ptr<gossip_socket> m_gossip;
-    std::unique_ptr<http1::server> m_peers;
+    std::unique_ptr<http::raw_server> m_peers;
     std::unique_ptr<leaf_client> m_leaves;
     std::unique_ptr<store_client> m_store;
 };
--- a/src/relay_host/store_client.cpp
+++ b/src/relay_host/store_client.cpp
@@ -23,7 +23,7 @@
     : m_time(time), m_settings(settings), m_codec(codec), m_metrics(metrics),
       m_onEvent(std::move(onEvent)), m_timer(event_new(base, -1, EV_PERSIST, &onTimer, this)),
       m_connections(base, time, settings.connections,
-                    [this](attempt_id number, const http1::client_pool::outcome &outcome) {
+                    [this](attempt_id number, const http::client_pool::outcome &outcome) {
                         report(number, outcome);
                     },
                     {})
@@ -38,14 +38,14 @@
     const auto timeout = asksHost ? m_settings.peerTimeout : m_settings.answerTimeout;
     m_pending.emplace(number,
                       pending_call{action.call, m_time.now() + waitOf(action.call) + timeout});
-    http1::call request =
+    http::call request =
         m_codec.formatStoreCall(action.call, action.call.source.value_or(m_settings.address));
     request.id = {number};
     m_metrics.count(asksHost ? "relay_peer_calls_total" : "relay_store_calls_total");
     m_connections.send(std::move(request));
 }
 
-void store_client::report(attempt_id number, const http1::client_pool::outcome &outcome)
+void store_client::report(attempt_id number, const http::client_pool::outcome &outcome)
 {
     const auto found = m_pending.find(number.value);
     if (found == m_pending.end())
@@ -70,7 +70,7 @@
     }
     for (const std::uint64_t number : overdue) {
         m_connections.cancel({number});
-        report({number}, http1::call_failure::ConnectionLost);
+        report({number}, http::call_failure::ConnectionLost);
     }
 }
 
--- a/src/relay_host/store_client.h
+++ b/src/relay_host/store_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http1/client_pool.h"
+#include "http/client_pool.h"
 #include "relay_host/relay_loop.h"
 #include "relay_host/wire_codec.h"
 #include "telemetry/metrics_registry.h"
@@ -22,8 +22,7 @@
     /// The same for the answer of another host, which has what it answers at hand.
     std::chrono::milliseconds peerTimeout{700};
     /// Connections. The largest answer is a page of 1 MB of objects, or one object of 1 MB.
-    http1::client_pool_settings connections{
-        .messages = {.bodyBytes = std::size_t{4} * 1024 * 1024}};
+    http::client_pool_settings connections{.messages = {.bodyBytes = std::size_t{4} * 1024 * 1024}};
 
     bool operator==(const store_client_settings &) const = default;
 };
@@ -48,7 +47,7 @@
     };
 
     static void onTimer(int socket, short events, void *self);
-    void report(attempt_id number, const http1::client_pool::outcome &outcome);
+    void report(attempt_id number, const http::client_pool::outcome &outcome);
     void giveUpOverdue();
 
     const clock &m_time;
@@ -59,7 +58,7 @@
     std::uint64_t m_lastNumber = 0;
     std::map<std::uint64_t, pending_call> m_pending;
     http::event_ptr m_timer;
-    http1::client_pool m_connections;
+    http::client_pool m_connections;
 };
 
 } // namespace waxwing::relay
--- a/tests/http1/client_pool_test.cpp
+++ b/tests/http/client_pool_test.cpp
@@ -1,4 +1,4 @@
-#include "http1/client_pool.h"
+#include "http/client_pool.h"
 
 #include "http/loop_fixture.h"
 
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 namespace {
 
 /// Listening socket whose connections a test serves by hand.
@@ -282,7 +282,7 @@
         time_point m_start = std::chrono::steady_clock::now();
     };
 
-    http::test_loop m_loop;
+    test_loop m_loop;
     test_clock m_time;
     raw_listener m_peer;
     std::unique_ptr<client_pool> m_pool;
@@ -292,4 +292,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(client_pool_test);
 
 } // namespace
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http/message_parser_test.cpp
@@ -1,11 +1,11 @@
-#include "http1/message_parser.h"
+#include "http/message_parser.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
 #include <vector>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 namespace {
 
 using message_kind = message_parser::message_kind;
@@ -49,9 +49,8 @@
             CPPUNIT_ASSERT_EQUAL(std::string("POST"), request.method);
             CPPUNIT_ASSERT_EQUAL(std::string("/a//b/?q=%2f"), request.target);
             CPPUNIT_ASSERT_EQUAL(std::string("abcde"), request.body);
-            CPPUNIT_ASSERT_EQUAL(std::string("h.example:80"),
-                                 *http::findField(request.headers, "host"));
-            CPPUNIT_ASSERT_EQUAL(std::string(), *http::findField(request.headers, "x-empty"));
+            CPPUNIT_ASSERT_EQUAL(std::string("h.example:80"), *findField(request.headers, "host"));
+            CPPUNIT_ASSERT_EQUAL(std::string(), *findField(request.headers, "x-empty"));
             CPPUNIT_ASSERT(request.keepAlive);
         }
     }
@@ -133,8 +132,8 @@
         CPPUNIT_ASSERT(parser.isComplete());
         const raw_request request = parser.takeRequest();
         CPPUNIT_ASSERT_EQUAL(std::string("a"), request.body);
-        CPPUNIT_ASSERT(http::findField(request.headers, "X-Late") == nullptr);
-        CPPUNIT_ASSERT_EQUAL(std::string("h"), *http::findField(request.headers, "Host"));
+        CPPUNIT_ASSERT(findField(request.headers, "X-Late") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string("h"), *findField(request.headers, "Host"));
     }
 
     /// Guards against losing answers of servers that end them with their connection.
@@ -176,4 +175,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(message_parser_test);
 
 } // namespace
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/tests/http1/server_test.cpp
+++ b/tests/http/raw_server_test.cpp
@@ -1,4 +1,4 @@
-#include "http1/server.h"
+#include "http/raw_server.h"
 
 #include "http/loop_fixture.h"
 
@@ -8,14 +8,12 @@
 #include <string>
 #include <vector>
 
-namespace waxwing::http1 {
+namespace waxwing::http {
 namespace {
 
-using http::raw_connection;
-
-class server_test : public CppUnit::TestFixture
+class raw_server_test : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(server_test);
+    CPPUNIT_TEST_SUITE(raw_server_test);
     CPPUNIT_TEST(answersRequestsOnOneConnectionInOrder);
     CPPUNIT_TEST(handlesManyEarlyRequestsWithoutRecursion);
     CPPUNIT_TEST(closesAConnectionWhoseFramingIsAmbiguous);
@@ -177,15 +175,15 @@
 private:
     void start()
     {
-        auto created = server::create(m_loop.base(), m_time, m_settings,
-                                      {[this](request_id id, raw_request request) {
-                                           m_ids.push_back(id);
-                                           m_requests.push_back(std::move(request));
-                                           if (m_answerAtOnce)
-                                               m_server->respond(id, {});
-                                       },
-                                       [this](request_id id) { m_gone.push_back(id); },
-                                       {}});
+        auto created = raw_server::create(m_loop.base(), m_time, m_settings,
+                                          {[this](request_id id, raw_request request) {
+                                               m_ids.push_back(id);
+                                               m_requests.push_back(std::move(request));
+                                               if (m_answerAtOnce)
+                                                   m_server->respond(id, {});
+                                           },
+                                           [this](request_id id) { m_gone.push_back(id); },
+                                           {}});
         CPPUNIT_ASSERT(created.ok());
         m_server = *std::move(created);
     }
@@ -201,17 +199,17 @@
         });
     }
 
-    http::test_loop m_loop;
+    test_loop m_loop;
     system_clock m_time;
-    server_settings m_settings;
+    raw_server_settings m_settings;
     bool m_answerAtOnce = false;
-    std::unique_ptr<server> m_server;
+    std::unique_ptr<raw_server> m_server;
     std::vector<request_id> m_ids;
     std::vector<raw_request> m_requests;
     std::vector<request_id> m_gone;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(server_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(raw_server_test);
 
 } // namespace
-} // namespace waxwing::http1
+} // namespace waxwing::http
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -9,6 +9,8 @@
     CPPUNIT_TEST_SUITE(server_test);
     CPPUNIT_TEST(passesWholeRequest);
     CPPUNIT_TEST(answersErrorsWithProblems);
+    CPPUNIT_TEST(rejectsAmbiguousFraming);
+    CPPUNIT_TEST(rejectsMalformedTargets);
     CPPUNIT_TEST(reportsDisconnectOnce);
     CPPUNIT_TEST(reportsResetPeer);
     CPPUNIT_TEST(toleratesResponderThatOutlivesServer);
@@ -88,17 +90,18 @@
     {
         const std::string bigHeader = "X: " + std::string(3000, 'x') + "\r\n";
         const std::pair<std::string, std::string> cases[] = {
-            {"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'b'), "413"},
-            {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2000, 'b')
-                 + "\r\n0\r\n\r\n",
+            {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'b'),
              "413"},
-            {"GET / HTTP/1.1\r\n" + bigHeader + "\r\n", "431"},
-            {"GET /" + std::string(3000, 'x') + " HTTP/1.1\r\n\r\n", "431"},
-            {"GET / HTTP/1.1\r\nno colon\r\n\r\n", "400"},
+            {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n"
+                 + std::string(2000, 'b') + "\r\n0\r\n\r\n",
+             "413"},
+            {"GET / HTTP/1.1\r\nHost: h\r\n" + bigHeader + "\r\n", "431"},
+            {"GET /" + std::string(3000, 'x') + " HTTP/1.1\r\nHost: h\r\n\r\n", "431"},
+            {"GET / HTTP/1.1\r\nHost: h\r\nno colon\r\n\r\n", "400"},
             {"nonsense\r\n\r\n", "400"},
-            {"HEAD / HTTP/1.1\r\nConnection: close\r\n\r\n", "405"},
-            {"PATCH / HTTP/1.1\r\nConnection: close\r\n\r\n", "405"},
-            {"BREW / HTTP/1.1\r\nConnection: close\r\n\r\n", "501"},
+            {"HEAD / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "405"},
+            {"PATCH / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "405"},
+            {"BREW / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "501"},
         };
         for (const auto &[input, status] : cases) {
             const std::string answer = exchange(input);
@@ -109,12 +112,48 @@
         CPPUNIT_ASSERT(m_requests.empty());
     }
 
+    /// Guards against a second request that is hidden in the body of the first one from one of two
+    /// parsers on the way.
+    void rejectsAmbiguousFraming()
+    {
+        const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+        const std::string cases[] = {
+            "Host: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n",
+            "Host: h\r\nContent-Length: +2\r\n",
+            "Host: h\r\nContent-Length : 2\r\n",
+            "Host: h\r\nTransfer-Encoding: xchunked\r\n",
+            "Host: h\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+            "Host: h\r\nHost: i\r\nContent-Length: 2\r\n",
+            "Host: h\r\nX-One: 1\r\n two\r\nContent-Length: 2\r\n",
+            "Content-Length: 2\r\n",
+        };
+        for (const std::string &fields : cases) {
+            const std::string answer = exchange("POST / HTTP/1.1\r\n" + fields + "\r\nab" + hidden);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, std::string("HTTP/1.1 400"), answer.substr(0, 12));
+            CPPUNIT_ASSERT(answer.find("application/problem+json") != std::string::npos);
+            // One answer only.
+            CPPUNIT_ASSERT_EQUAL(answer.find("HTTP/1.1"), answer.rfind("HTTP/1.1"));
+        }
+        CPPUNIT_ASSERT(m_requests.empty());
+    }
+
+    /// Guards against a query that cannot be read and counts as an empty one.
+    void rejectsMalformedTargets()
+    {
+        for (const std::string target : {"/a?flag", "/a?=1"}) {
+            const std::string answer =
+                exchange("GET " + target + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(target, std::string("HTTP/1.1 400"), answer.substr(0, 12));
+        }
+        CPPUNIT_ASSERT(m_requests.empty());
+    }
+
     /// Guards against searches that go on for a caller that is gone.
     void reportsDisconnectOnce()
     {
         int disconnects = 0;
         raw_connection peer(m_server->localEndpoint());
-        peer.write("GET / HTTP/1.1\r\n\r\n");
+        peer.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
         m_loop.runUntil([&] { return m_responders.size() == 1; });
         m_responders.front().onDisconnect([&] { ++disconnects; });
         peer.close();
@@ -130,11 +169,11 @@
     {
         int disconnects = 0;
         raw_connection peer(m_server->localEndpoint());
-        peer.write("GET /a HTTP/1.1\r\n\r\n");
+        peer.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
         m_loop.runUntil([&] { return m_responders.size() == 1; });
         m_responders.front().onDisconnect([&] { ++disconnects; });
         // Unread data at close makes the kernel send a reset.
-        peer.write("GET /b HTTP/1.1\r\n\r\n");
+        peer.write("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
         m_responders.front().respond(jsonResponse(200, "{}"));
         m_loop.runUntil([&] { return m_responders.size() == 2; });
         m_responders.back().onDisconnect([&] { ++disconnects; });
@@ -148,7 +187,7 @@
     {
         int disconnects = 0;
         raw_connection peer(m_server->localEndpoint());
-        peer.write("GET / HTTP/1.1\r\n\r\n");
+        peer.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
         m_loop.runUntil([&] { return m_responders.size() == 1; });
         m_responders.front().onDisconnect([&] { ++disconnects; });
         m_server.reset();
@@ -160,7 +199,7 @@
     void answersUnansweredRequests()
     {
         raw_connection peer(m_server->localEndpoint());
-        peer.write("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+        peer.write("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
         m_loop.runUntil([&] { return m_responders.size() == 1; });
         m_responders.clear();
         m_loop.runUntil([&] {
@@ -174,7 +213,8 @@
     void servesPipelinedRequestsInOrder()
     {
         raw_connection peer(m_server->localEndpoint());
-        peer.write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nConnection: close\r\n\r\n");
+        peer.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nConnection: "
+                   "close\r\n\r\n");
         for (std::size_t i = 0; i < 2; ++i) {
             m_loop.runUntil([&] { return m_responders.size() == i + 1; });
             m_responders[i].respond(jsonResponse(200, m_requests[i].path));
@@ -194,8 +234,8 @@
         raw_connection idle(at);
         raw_connection busy(at);
         raw_connection partial(at);
-        busy.write("GET /busy HTTP/1.1\r\n\r\n");
-        partial.write("POST /partial HTTP/1.1\r\nContent-Length: 2\r\n\r\na");
+        busy.write("GET /busy HTTP/1.1\r\nHost: h\r\n\r\n");
+        partial.write("POST /partial HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na");
         m_loop.runUntil([&] { return m_responders.size() == 1 && m_server->connections() == 3; });
         m_server->beginDrain();
         partial.write("b");
@@ -222,12 +262,12 @@
     void limitsArrivalTime()
     {
         raw_connection handled(m_server->localEndpoint());
-        handled.write("GET / HTTP/1.1\r\n\r\n");
+        handled.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
         m_loop.runUntil([&] { return m_responders.size() == 1; });
         raw_connection header(m_server->localEndpoint());
         raw_connection body(m_server->localEndpoint());
-        header.write("GET / HTTP/1.1\r\nX: ");
-        body.write("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n1");
+        header.write("GET / HTTP/1.1\r\nHost: h\r\nX: ");
+        body.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n1");
         m_loop.runUntil([&] {
             header.poll();
             body.poll();
@@ -243,7 +283,7 @@
     {
         raw_connection peer(m_server->localEndpoint());
         for (std::size_t i = 0; i < 2; ++i) {
-            peer.write("GET / HTTP/1.1\r\n\r\n");
+            peer.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
             m_loop.runUntil([&] { return m_responders.size() == i + 1; });
             CPPUNIT_ASSERT_EQUAL(i == 0, m_responders[i].isFirstOnConnection());
             if (i == 0)
--- a/tests/platform/platform_wire_test.cpp
+++ b/tests/platform/platform_wire_test.cpp
@@ -1,6 +1,6 @@
 #include "platform/platform_wire.h"
 
-#include "http1/message_parser.h"
+#include "http/message_parser.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -10,17 +10,17 @@
 namespace waxwing::platform {
 namespace {
 
-http1::raw_request requestOf(const std::string &bytes)
+http::raw_request requestOf(const std::string &bytes)
 {
-    http1::message_parser parser(http1::message_parser::message_kind::Request, {});
+    http::message_parser parser(http::message_parser::message_kind::Request, {});
     parser.read(bytes);
     CPPUNIT_ASSERT(parser.isComplete());
     return parser.takeRequest();
 }
 
-http1::raw_response responseOf(const std::string &bytes)
+http::raw_response responseOf(const std::string &bytes)
 {
-    http1::message_parser parser(http1::message_parser::message_kind::Response, {});
+    http::message_parser parser(http::message_parser::message_kind::Response, {});
     parser.read(bytes);
     parser.readEnd();
     CPPUNIT_ASSERT(parser.isComplete());
@@ -59,7 +59,7 @@
         action.address = {"10.128.0.9", 8080};
         action.request = std::make_shared<const relay::relay_request>(request);
         action.timeLeft = std::chrono::milliseconds(1150);
-        const http1::call call = m_wire.formatLeafCall(action);
+        const http::call call = m_wire.formatLeafCall(action);
         CPPUNIT_ASSERT(call.peer == action.address);
         CPPUNIT_ASSERT_EQUAL(std::string("9c41d07be2a35f68"), call.echoValue);
         CPPUNIT_ASSERT_EQUAL(std::string("POST /nono601/no91/%2f?a=b HTTP/1.1\r\n"
@@ -162,14 +162,14 @@
     void readsOutcomesOfTheStore()
     {
         using relay::store_failure;
-        const auto failureOf = [this](const http1::client_pool::outcome &outcome) {
+        const auto failureOf = [this](const http::client_pool::outcome &outcome) {
             return std::get<store_failure>(m_wire.readStoreOutcome({}, outcome));
         };
         const auto status = [](int code, const std::string &body) {
-            return http1::client_pool::outcome(http1::raw_response{{code, {}, body}, true});
+            return http::client_pool::outcome(http::raw_response{{code, {}, body}, true});
         };
-        CPPUNIT_ASSERT(failureOf(http1::call_failure::ConnectFailed) == store_failure::Unreachable);
-        CPPUNIT_ASSERT(failureOf(http1::call_failure::ConnectionLost) == store_failure::NoAnswer);
+        CPPUNIT_ASSERT(failureOf(http::call_failure::ConnectFailed) == store_failure::Unreachable);
+        CPPUNIT_ASSERT(failureOf(http::call_failure::ConnectionLost) == store_failure::NoAnswer);
         CPPUNIT_ASSERT(failureOf(status(410, "{}")) == store_failure::HistoryGone);
         CPPUNIT_ASSERT(failureOf(status(429, "{}")) == store_failure::TooManyCalls);
         CPPUNIT_ASSERT(failureOf(status(503, "{}")) == store_failure::Unavailable);
