Wait for an answer of any part before a fan-out counts as harmful

With 54 parts three of them are often lost before the first answer, and the request was then given up as one that crashes servers: 438 answers 502 "failed" with 0 of 54 parts, after 1 to 8 ms.

Ruled out: connections reset over the limit of a server (they are told apart), requests that crash servers (quarantine refused none), overload of the hosts.

Change: three losses without an answer only hold the retries back. An answer of any other part clears the request and its lost parts are retried; it is given up once nothing is in progress and nothing was answered.

Tests: answersLostByManyShardsDoNotLookLikeCrashes fails before the change (502); aFanOutThatCrashesServersIsGivenUp holds before and after.

--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -41,8 +41,8 @@
     /// Time before a part of a fan-out is retried after a lost connection while no other part is
     /// answered. Other parts answer in it unless the request is what crashes servers.
     std::chrono::milliseconds lossPause{12};
-    /// Parts that lose their connection before any is answered after which a fan-out counts as the
-    /// cause and is given up.
+    /// Parts that lose their connection before any is answered after which no part is retried until
+    /// one is answered, and the fan-out is given up if none is.
     std::size_t lossesToGiveUp = 3;
     /// Time after which a hedge that could not be sent is considered again.
     std::chrono::milliseconds hedgeRecheck{15};
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -350,11 +350,29 @@
     settle();
 }
 
+bool request_progress::looksHarmful() const
+{
+    return m_request.target->isFanOut() && m_request.answered == 0
+        && m_request.losses >= m_state.settings.requests.lossesToGiveUp;
+}
+
+bool request_progress::hasAttempts() const
+{
+    return std::any_of(m_request.parts.begin(), m_request.parts.end(),
+                       [](const relay_part &part) { return !part.attempts.empty(); });
+}
+
 void request_progress::hedgeDue(std::size_t index)
 {
     relay_part &part = m_request.parts[index];
     part.hedgeAt.reset();
     const bool isRetry = part.attempts.empty();
+    if (isRetry && looksHarmful()) {
+        // Servers that lose answers lose some of many. An answer of any other part clears the
+        // request; without one, a retry might crash the other servers of the shard.
+        part.hedgeAt = m_work.now + m_state.settings.requests.lossPause;
+        return;
+    }
     if (sendExtra(index, isRetry)) {
         note(index, isRetry ? "retried" : "hedged");
         return;
@@ -405,9 +423,7 @@
         answerMerged();
         return;
     }
-    const bool looksHarmful = m_request.target->isFanOut() && m_request.answered == 0
-        && m_request.losses >= m_state.settings.requests.lossesToGiveUp;
-    if (looksHarmful) {
+    if (looksHarmful() && !hasAttempts()) {
         fail();
         return;
     }
--- a/src/relay/request_progress.h
+++ b/src/relay/request_progress.h
@@ -49,6 +49,9 @@
     void hedgeStragglers();
     void takeFailure(std::size_t index, leaf_reply reply);
     void hedgeDue(std::size_t index);
+    /// Whether connections were lost as if the request crashed servers.
+    bool looksHarmful() const;
+    bool hasAttempts() const;
     duration hedgeDelay(const leaf_choice &choice) const;
     std::chrono::milliseconds timeLeft() const;
 
--- a/tests/relay/load_pattern_test.cpp
+++ b/tests/relay/load_pattern_test.cpp
@@ -57,6 +57,8 @@
     CPPUNIT_TEST(aRefusingServerIsLeftAlone);
     CPPUNIT_TEST(aFailingServerIsLeftAlone);
     CPPUNIT_TEST(lostAnswersAreAskedForAgain);
+    CPPUNIT_TEST(answersLostByManyShardsDoNotLookLikeCrashes);
+    CPPUNIT_TEST(aFanOutThatCrashesServersIsGivenUp);
     CPPUNIT_TEST(aLostShardIsLeftOutOfTheAnswer);
     CPPUNIT_TEST(whatCannotBeServedIsRefusedAtOnce);
     CPPUNIT_TEST(refusalsSpreadTheReturnOfCallers);
@@ -306,6 +308,50 @@
         }
     }
 
+    /// Four servers lose the answers of one request before the other shards are done with it. If it
+    /// is then taken for the cause of crashes, it fails without need.
+    void answersLostByManyShardsDoNotLookLikeCrashes()
+    {
+        relay_simulation world({});
+        world.load("/all/", 2s, 4s, 20ms);
+        world.runUntil(5s);
+        for (int shard = 0; shard < 4; ++shard) {
+            simulated_leaf &server = world.leafOf("shard-" + std::to_string(shard), 0);
+            server.fault = fault_kind::LosesAll;
+            server.slowness = 0.3;
+        }
+        const std::size_t request = world.send(0, "/all/x");
+        world.runUntil(6s);
+        CPPUNIT_ASSERT(world.requests[request].answered.has_value());
+        CPPUNIT_ASSERT_EQUAL(200, world.requests[request].status());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, world.requests[request].parts());
+        CPPUNIT_ASSERT(world.requests[request].tookMs() <= 150);
+    }
+
+    /// A request that crashes every server that runs it is sent to all shards at once. Retries would
+    /// crash the remaining servers too.
+    void aFanOutThatCrashesServersIsGivenUp()
+    {
+        relay_simulation world({});
+        world.load("/all/", 2s, 4s, 20ms);
+        world.at(5s, [&world] {
+            for (auto &[id, server] : world.leaves)
+                server.fault = fault_kind::LosesAll;
+        });
+        world.runUntil(5s);
+        const std::size_t request = world.send(0, "/all/poison");
+        world.runUntil(6s);
+        CPPUNIT_ASSERT(world.requests[request].answered.has_value());
+        CPPUNIT_ASSERT_EQUAL(502, world.requests[request].status());
+        CPPUNIT_ASSERT(world.requests[request].tookMs() <= 100);
+        int runs = 0;
+        for (const auto &[id, server] : world.leaves) {
+            const auto found = server.runs.find(world.requests[request].callerId);
+            runs += found == server.runs.end() ? 0 : found->second;
+        }
+        CPPUNIT_ASSERT(runs <= 10);
+    }
+
     /// A request that crashes each server that runs it comes again and again at all hosts.
     void crashesOfOneRequestAreBounded()
     {
