--- a/tests/relay/load_pattern_test.cpp
+++ b/tests/relay/load_pattern_test.cpp
@@ -328,8 +328,8 @@
         CPPUNIT_ASSERT(world.requests[request].tookMs() <= 150);
     }
 
-    /// A request that crashes every server that runs it is sent to all shards at once. Retries would
-    /// crash the remaining servers too.
+    /// A request that crashes every server that runs it is sent to all shards at once. Retries
+    /// would crash the remaining servers too.
     void aFanOutThatCrashesServersIsGivenUp()
     {
         relay_simulation world({});
