Split the long files of the relay's decisions

relay_parts.cpp (588 lines) held the dispatch of events and all that follows from the store; the latter is store_adoption now. request_progress.cpp (620) sent parts and ended requests; request_ending gives answers, refusals and log lines. No decision changes.

--- a/src/relay/relay_effect.h
+++ b/src/relay/relay_effect.h
@@ -101,4 +101,11 @@
 /// Effects in the order in which they are carried out.
 using relay_effect_list = std::vector<relay_effect>;
 
+/// Appends a log line.
+inline void appendLog(relay_effect_list &effects, log_level level, std::string message,
+                      std::vector<std::pair<std::string, std::string>> fields)
+{
+    effects.emplace_back(write_log{{level, std::move(message), std::move(fields)}});
+}
+
 } // namespace waxwing::relay
--- a/src/relay/relay_parts.cpp
+++ b/src/relay/relay_parts.cpp
@@ -1,6 +1,7 @@
 #include "relay/relay_parts.h"
 
 #include "entry/urgent_facts.h"
+#include "relay/store_adoption.h"
 
 #include <fmt/format.h>
 
@@ -15,12 +16,6 @@
 /// another host.
 constexpr std::chrono::milliseconds otherHostRetry{20};
 
-template<typename Value>
-std::string text(Value value)
-{
-    return fmt::to_string(value);
-}
-
 relay_part partOf(const service_id &service)
 {
     relay_part part;
@@ -28,11 +23,6 @@
     return part;
 }
 
-std::string idOf(const followed_kind kind)
-{
-    return kind == followed_kind::Routes ? "routes" : "servers";
-}
-
 std::uint64_t fingerprintOf(const route &target, const relay_request &request)
 {
     return requestFingerprint({target.hostName}, request.target + '\n' + request.body);
@@ -53,18 +43,6 @@
       stop(settings.stopNotice, settings.stopLimit)
 { }
 
-relay_requests::relay_requests(const relay_settings &values, zone_distances distances)
-    : settings(values), leaves(values.leaves, std::move(distances)), quarantine(values.quarantine)
-{ }
-
-extra_budget &relay_requests::budgetOf(const service_id &service)
-{
-    const auto [entry, isNew] = budgets.try_emplace(service, settings.extras);
-    if (isNew)
-        entry->second.setHosts(hosts);
-    return entry->second;
-}
-
 relay_dispatch::relay_dispatch(relay_state::parts &state, const relay_event &input,
                                relay_effect_list &effects)
     : m_parts(state), m_now(input.at), m_wall(input.wall),
@@ -76,12 +54,6 @@
     return {m_parts.requests, m_now, m_parts.random, m_parts.lastAttempt, m_effects};
 }
 
-void relay_dispatch::log(log_level level, std::string message,
-                         std::vector<std::pair<std::string, std::string>> fields)
-{
-    m_effects.emplace_back(write_log{{level, std::move(message), std::move(fields)}});
-}
-
 void relay_dispatch::operator()(const tick & /*due*/)
 {
     relay_requests &requests = m_parts.requests;
@@ -90,7 +62,7 @@
     m_parts.members.onTick(m_context);
     m_parts.desk.onTick(m_now, m_effects);
     endAbandoned();
-    removeUnlisted();
+    store_adoption(m_parts, m_now, m_effects).removeUnlisted();
     while (!requests.timers.empty() && requests.timers.top().first <= m_now) {
         const auto [at, id] = requests.timers.top();
         requests.timers.pop();
@@ -116,9 +88,9 @@
         return;
     m_parts.members.announceLeaving(m_context);
     m_effects.emplace_back(announce_close{});
-    log(log_level::Info, "stop requested",
-        {{"requests", text(m_parts.requests.running.size())},
-         {"notice_ms", text(m_parts.settings.stopNotice.count())}});
+    appendLog(m_effects, log_level::Info, "stop requested",
+              {{"requests", fmt::to_string(m_parts.requests.running.size())},
+               {"notice_ms", fmt::to_string(m_parts.settings.stopNotice.count())}});
 }
 
 std::optional<refusal> relay_dispatch::refuseAtOnce(const request_received &received,
@@ -141,15 +113,16 @@
 void relay_dispatch::answerRefusal(const request_received &received, refusal reason)
 {
     m_effects.emplace_back(count_metric{"relay_requests_total_refused_" + reason.code, 1});
-    log(log_level::Warning, "request refused",
+    appendLog(
+        m_effects, log_level::Warning, "request refused",
         {{"request", received.request->callerId},
          {"outcome", reason.code},
-         {"status", text(reason.status)},
+         {"status", fmt::to_string(reason.status)},
          {"host_name", received.request->hostName},
          {"target", received.request->target},
          {"routes_version",
-          text(m_parts.requests.document ? m_parts.requests.document->version() : 0)},
-         {"in_progress", text(m_parts.requests.running.size())}});
+          fmt::to_string(m_parts.requests.document ? m_parts.requests.document->version() : 0)},
+         {"in_progress", fmt::to_string(m_parts.requests.running.size())}});
     auto &answer = std::get<answer_request>(m_effects.emplace_back(answer_request{}));
     answer.id = received.id;
     answer.answer.emplace<refusal>(std::move(reason));
@@ -320,13 +293,12 @@
 {
     relay_requests &requests = m_parts.requests;
     for (;;) {
-        const auto queue = requests.waiting.find(service);
-        if (queue == requests.waiting.end() || queue->second.empty())
+        const auto next = requests.waiting.first(service);
+        if (!next.has_value())
             return;
-        const waiting_part next = *queue->second.begin();
         bool moved = false;
-        progress(next.request,
-                 [&](request_progress &step) { moved = step.sendWaiting(next.part); });
+        progress(next->request,
+                 [&](request_progress &step) { moved = step.sendWaiting(next->part); });
         if (!moved)
             return;
     }
@@ -359,133 +331,11 @@
 
 void relay_dispatch::operator()(const store_called &called)
 {
-    store_follower &follower =
-        called.call.kind == followed_kind::Routes ? m_parts.routes : m_parts.servers;
-    const std::uint32_t failuresBefore = follower.failures();
-    const auto update = follower.onCalled(called, m_now, m_parts.random);
-    logStore(called, follower, failuresBefore);
-    if (!called.call.source.has_value()) {
-        if (std::holds_alternative<store_failure>(called.outcome))
-            m_parts.desk.onStoreFailure(called.call.kind, m_effects);
-        else
-            m_parts.desk.onStoreAnswer(called.call.kind, update, follower.revision(), m_now,
-                                       m_effects);
-    }
-    if (update.has_value() && called.call.kind == followed_kind::Routes)
-        adoptRoutes(*update);
-    else if (update.has_value())
-        adoptServers(*update);
-    follower.onTick(m_now, m_effects);
-}
-
-void relay_dispatch::logStore(const store_called &called, const store_follower &follower,
-                              std::uint32_t failuresBefore)
-{
-    const followed_kind kind = called.call.kind;
-    if (follower.failures() > 0)
-        m_effects.emplace_back(count_metric{"relay_store_failures_total", 1});
-    if (failuresBefore == 0 && follower.failures() > 0) {
-        const auto *reason = std::get_if<store_failure>(&called.outcome);
-        log(log_level::Warning, "lost the store",
-            {{"kind", idOf(kind)},
-             {"reason", std::string(reason == nullptr ? "" : failureName(*reason))},
-             {"revision", text(follower.revision())}});
-    } else if (failuresBefore > 0 && follower.failures() == 0) {
-        log(log_level::Info, "regained the store",
-            {{"kind", idOf(kind)},
-             {"revision", text(follower.revision())},
-             {"failed_calls", text(failuresBefore)}});
-    }
-}
-
-void relay_dispatch::adoptRoutes(const store_update &update)
-{
-    relay_requests &requests = m_parts.requests;
-    for (const store_object &object : update.objects) {
-        if (const auto *unusable = std::get_if<unusable_object>(&object.content)) {
-            log(log_level::Error, "ignored a document of routes",
-                {{"name", object.name},
-                 {"revision", text(object.revision)},
-                 {"reason", object.removed ? "removed" : unusable->reason}});
-            continue;
-        }
-        const auto *document = std::get_if<std::shared_ptr<const route_document>>(&object.content);
-        if (document == nullptr)
-            continue;
-        const std::uint64_t before = requests.document ? requests.document->version() : 0;
-        if (requests.document != nullptr && (*document)->version() <= before) {
-            if ((*document)->version() < before) {
-                log(log_level::Error, "ignored an older document of routes",
-                    {{"version", text((*document)->version())}, {"in_force", text(before)}});
-            }
-            continue;
-        }
-        requests.document = *document;
-        for (const route &each : requests.document->routes()) {
-            const auto pace = requests.paces.find(each.name);
-            if (pace != requests.paces.end())
-                pace->second->configure(each);
-        }
-        m_parts.appliedMembers.reset();
-        m_parts.members.setConfiguration((*document)->version(), (*document)->version());
-        m_effects.emplace_back(limit_callers{(*document)->limits()});
-        log(log_level::Info, "adopted routes",
-            {{"version", text((*document)->version())},
-             {"before", text(before)},
-             {"revision", text(object.revision)},
-             {"routes", text((*document)->routes().size())}});
-    }
-}
-
-void relay_dispatch::adoptServers(const store_update &update)
-{
-    leaf_pool &leaves = m_parts.requests.leaves;
-    std::set<server_id> listed;
-    std::size_t unusable = 0;
-    std::set<service_id> changed;
-    for (const store_object &object : update.objects) {
-        const auto *entry = std::get_if<registered_server>(&object.content);
-        if (entry == nullptr) {
-            leaves.markUnlisted({object.name}, m_now);
-            unusable += object.removed ? 0 : 1;
-            if (object.removed)
-                log(log_level::Info, "backend server is not registered any more",
-                    {{"server", object.name}, {"revision", text(object.revision)}});
-            continue;
-        }
-        listed.insert(entry->id);
-        changed.insert(entry->service);
-        if (const auto before = leaves.put(*entry, m_now))
-            m_effects.emplace_back(forget_address{*before});
-        if (!update.isComplete)
-            log(log_level::Info, "backend server registered",
-                {{"server", entry->id.value},
-                 {"service", entry->service.value},
-                 {"address", entry->address.toString()},
-                 {"leaving", entry->leaving ? "yes" : "no"},
-                 {"revision", text(object.revision)}});
-    }
-    if (unusable > 0)
-        log(log_level::Warning, "ignored registrations that cannot be used",
-            {{"count", text(unusable)}});
-    if (update.isComplete) {
-        for (const server_id &known : leaves.ids()) {
-            if (listed.count(known) == 0)
-                leaves.markUnlisted(known, m_now);
-        }
-        log(log_level::Info, "listed backend servers",
-            {{"servers", text(listed.size())}, {"revision", text(m_parts.servers.revision())}});
-    }
+    const auto changed = store_adoption(m_parts, m_now, m_effects).onCalled(called);
     for (const service_id &service : changed)
         serveWaiting(service);
 }
 
-void relay_dispatch::removeUnlisted()
-{
-    for (endpoint &address : m_parts.requests.leaves.removeUnlisted(m_now))
-        m_effects.emplace_back(forget_address{std::move(address)});
-}
-
 void relay_dispatch::operator()(const datagram_received &received)
 {
     m_parts.members.onDatagram(m_context, received.from, received.message);
@@ -493,10 +343,10 @@
         if (heard.kind != fact_kind::RequestQuarantined)
             continue;
         m_parts.requests.quarantine.onFact(heard, m_now);
-        log(log_level::Info, "heard of a request that crashed a backend server",
-            {{"fingerprint", heard.subject},
-             {"crashes", text(heard.value)},
-             {"from", heard.origin.value}});
+        appendLog(m_effects, log_level::Info, "heard of a request that crashed a backend server",
+                  {{"fingerprint", heard.subject},
+                   {"crashes", fmt::to_string(heard.value)},
+                   {"from", heard.origin.value}});
     }
 }
 
@@ -515,23 +365,6 @@
     m_parts.desk.onGone(gone.id);
 }
 
-void relay_dispatch::applyRole()
-{
-    const store_role role =
-        chooseStoreRole(m_parts.settings.roles, m_parts.members.self(),
-                        m_parts.members.activeMembers(), m_parts.settings.regions);
-    if (role == m_parts.role)
-        return;
-    m_parts.role = role;
-    m_parts.routes.setRole(role, m_now);
-    m_parts.servers.setRole(role, m_now);
-    m_parts.desk.setReadsStore(role.readsStore);
-    log(log_level::Info, "changed where the store is read",
-        {{"reads_store", role.readsStore ? "yes" : "no"},
-         {"sources", text(role.sources.size())},
-         {"first_source", role.sources.empty() ? "" : role.sources.front().toString()}});
-}
-
 void relay_dispatch::applyMembers()
 {
     relay_requests &requests = m_parts.requests;
@@ -539,7 +372,7 @@
     if (m_parts.appliedMembers == version)
         return;
     m_parts.appliedMembers = version;
-    applyRole();
+    store_adoption(m_parts, m_now, m_effects).applyRole();
     const std::size_t hostsBefore = requests.hosts;
     // Hosts that are away count too: they may come back before this host learns of it.
     requests.hosts = std::max<std::size_t>(m_parts.members.members().size(), 1);
@@ -553,9 +386,9 @@
     requests.leaves.setConnections(requests.hosts, std::move(limits));
     if (requests.hosts == hostsBefore)
         return;
-    log(log_level::Info, "hosts share connections and budgets",
-        {{"hosts", text(requests.hosts)},
-         {"active", text(m_parts.members.activeMembers().size())}});
+    appendLog(m_effects, log_level::Info, "hosts share connections and budgets",
+              {{"hosts", fmt::to_string(requests.hosts)},
+               {"active", fmt::to_string(m_parts.members.activeMembers().size())}});
 }
 
 void relay_dispatch::synchronise()
@@ -563,8 +396,9 @@
     for (const auto &seen : m_parts.requests.quarantine.takeObservations()) {
         urgent_facts::publish(m_context, m_parts.members, fact_kind::RequestQuarantined,
                               seen.subject, seen.crashes, seen.validFor);
-        log(log_level::Warning, "a request lost its connection to a backend server",
-            {{"fingerprint", seen.subject}, {"losses", text(seen.crashes)}});
+        appendLog(m_effects, log_level::Warning,
+                  "a request lost its connection to a backend server",
+                  {{"fingerprint", seen.subject}, {"losses", fmt::to_string(seen.crashes)}});
     }
     applyMembers();
     m_parts.stop.advance(m_context, m_parts.requests.running.size());
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -89,16 +89,8 @@
     void judge(const relay_attempt &attempt, attempt_id id, const leaf_reply &reply);
     void serveWaiting(const service_id &service);
     void endAbandoned();
-    void adoptRoutes(const store_update &update);
-    void adoptServers(const store_update &update);
-    void removeUnlisted();
-    void logStore(const store_called &called, const store_follower &follower,
-                  std::uint32_t failuresBefore);
     void applyMembers();
-    void applyRole();
     void adoptSharedEffects();
-    void log(log_level level, std::string message,
-             std::vector<std::pair<std::string, std::string>> fields);
 
     relay_state::parts &m_parts;
     time_point m_now;
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -15,6 +15,18 @@
 
 namespace waxwing::relay {
 
+/// A time multiplied by a factor.
+inline duration scaled(duration whole, double factor)
+{
+    return std::chrono::duration_cast<duration>(whole * factor);
+}
+
+/// Whether callers take an answer with the status as "not run".
+inline bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// Request of a caller that is passed on as it is.
 struct relay_request
 {
--- /dev/null
+++ b/src/relay/relay_work.cpp
@@ -0,0 +1,29 @@
+#include "relay/relay_work.h"
+
+namespace waxwing::relay {
+
+relay_requests::relay_requests(const relay_settings &values, zone_distances distances)
+    : settings(values), leaves(values.leaves, std::move(distances)), quarantine(values.quarantine)
+{ }
+
+extra_budget &relay_requests::budgetOf(const service_id &service)
+{
+    const auto [entry, isNew] = budgets.try_emplace(service, settings.extras);
+    if (isNew)
+        entry->second.setHosts(hosts);
+    return entry->second;
+}
+
+waiting_part queueEntry(const running_relay &request, std::size_t index)
+{
+    return {request.target->rank, request.waitUntil, request.id, index};
+}
+
+void leaveQueue(relay_requests &state, const running_relay &request, std::size_t index)
+{
+    const relay_part &part = request.parts[index];
+    if (part.step == relay_part::step_kind::Waiting)
+        state.waiting.leave(part.service, queueEntry(request, index));
+}
+
+} // namespace waxwing::relay
--- a/src/relay/relay_work.h
+++ b/src/relay/relay_work.h
@@ -4,6 +4,7 @@
 #include "relay/relay_effect.h"
 #include "relay/relay_settings.h"
 #include "relay/running_relay.h"
+#include "relay/waiting_parts.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -11,7 +12,6 @@
 #include <map>
 #include <memory>
 #include <queue>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,21 +19,6 @@
 
 namespace waxwing::relay {
 
-/// Part of a request that waits for a server, in the order in which waiting parts are served.
-struct waiting_part
-{
-    /// Rank of the route.
-    std::uint32_t rank = 0;
-    /// When the wait is given up.
-    time_point until;
-    /// Number of the request.
-    request_id request;
-    /// Part of the request.
-    std::size_t part = 0;
-
-    auto operator<=>(const waiting_part &) const = default;
-};
-
 /// State of the requests in progress and of the servers that they use.
 struct relay_requests
 {
@@ -65,14 +50,19 @@
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<running_relay>> running;
     /// Attempts in progress.
     absl::flat_hash_map<std::uint64_t, relay_attempt> attempts;
-    /// Parts that wait for a server, by service.
-    absl::flat_hash_map<service_id, std::set<waiting_part>> waiting;
+    /// Parts that wait for a server.
+    waiting_parts waiting;
     /// When requests are looked at again. An entry is valid if it is that of its request.
     earliest_first<timer> timers;
     /// When attempts that are no longer needed are ended.
     earliest_first<timer> abandoned;
 };
 
+/// Entry of a part of the request in the queue of its service.
+waiting_part queueEntry(const running_relay &request, std::size_t index);
+/// Takes a part of the request out of the queue of its service if it waits there.
+void leaveQueue(relay_requests &state, const running_relay &request, std::size_t index);
+
 /// What the parts of the reducer work with while one event is handled.
 struct relay_work
 {
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -1,37 +1,13 @@
 #include "relay/request_progress.h"
 
-#include "relay/record_merge.h"
-
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace waxwing::relay {
 namespace {
 
-/// Longest trail in a log line, in bytes.
-constexpr std::size_t longestTrail = 600;
-
-template<typename Scale>
-duration partOf(duration whole, Scale part)
-{
-    return std::chrono::duration_cast<duration>(whole * part);
-}
-
-std::string milliseconds(duration time)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
-std::string counterOf(std::string_view outcome)
-{
-    std::string name = fmt::format("relay_requests_total_{}", outcome);
-    std::replace(name.begin(), name.end(), ' ', '_');
-    return name;
-}
-
 std::string_view nameOf(leaf_failure reason)
 {
     switch (reason) {
@@ -47,12 +23,6 @@
     return "malformed reply";
 }
 
-/// Statuses by which a caller takes a request as not run.
-bool promisesNotRun(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 bool isFaultOfRequest(int status)
 {
     return status >= 400 && status < 500 && !promisesNotRun(status);
@@ -61,7 +31,7 @@
 } // namespace
 
 request_progress::request_progress(const relay_work &work, running_relay &request)
-    : m_work(work), m_state(work.state), m_request(request)
+    : m_work(work), m_state(work.state), m_request(request), m_ending(work, request)
 { }
 
 std::chrono::milliseconds request_progress::timeLeft() const
@@ -93,13 +63,15 @@
             ++crowded;
     }
     if (!isCovered(m_request.parts.size() - unserved)) {
-        refuse(503, "unavailable", "no backend server can be reached", retryHint());
+        m_ending.refuse(503, "unavailable", "no backend server can be reached",
+                        m_ending.retryHint());
         return;
     }
     // Otherwise the free shards would work for an answer that the crowded ones keep from being
     // given.
     if (!isCovered(m_request.parts.size() - unserved - crowded)) {
-        refuse(503, "overloaded", "too many requests wait for backend servers", retryHint());
+        m_ending.refuse(503, "overloaded", "too many requests wait for backend servers",
+                        m_ending.retryHint());
         return;
     }
     for (std::size_t i = 0; i < m_request.parts.size(); ++i)
@@ -116,10 +88,10 @@
         if (m_request.parts[i].step != step_kind::Waiting)
             continue;
         waiting.push_back(i);
-        leaveQueue(i);
+        leaveQueue(m_state, m_request, i);
     }
     m_request.waitUntil = m_request.arrived
-        + partOf(m_request.target->latencyGoal, m_state.settings.requests.partWaitPart);
+        + scaled(m_request.target->latencyGoal, m_state.settings.requests.partWaitPart);
     for (const std::size_t index : waiting)
         wait(index);
 }
@@ -140,7 +112,7 @@
 void request_progress::send(std::size_t index, const leaf_choice &choice)
 {
     relay_part &part = m_request.parts[index];
-    leaveQueue(index);
+    leaveQueue(m_state, m_request, index);
     const attempt_id id{++m_work.lastAttempt};
     choice.server->onSent(id, choice.expected, m_work.now);
     part.step = step_kind::InProgress;
@@ -164,7 +136,7 @@
     const work_estimate &work = m_request.pace->work;
     const duration way = choice.expected - std::min(choice.expected, work.typical());
     const duration longest =
-        partOf(m_request.target->latencyGoal, m_state.settings.requests.longestHedgePart);
+        scaled(m_request.target->latencyGoal, m_state.settings.requests.longestHedgePart);
     return std::min(way + work.slow(), std::max(longest, work.typical()));
 }
 
@@ -173,21 +145,7 @@
     relay_part &part = m_request.parts[index];
     part.step = step_kind::Waiting;
     part.hedgeAt.reset();
-    m_state.waiting[part.service].insert(
-        {m_request.target->rank, m_request.waitUntil, m_request.id, index});
-}
-
-void request_progress::leaveQueue(std::size_t index)
-{
-    const relay_part &part = m_request.parts[index];
-    if (part.step != step_kind::Waiting)
-        return;
-    const auto queue = m_state.waiting.find(part.service);
-    if (queue == m_state.waiting.end())
-        return;
-    queue->second.erase({m_request.target->rank, m_request.waitUntil, m_request.id, index});
-    if (queue->second.empty())
-        m_state.waiting.erase(queue);
+    m_state.waiting.join(part.service, queueEntry(m_request, index));
 }
 
 bool request_progress::sendWaiting(std::size_t index)
@@ -208,11 +166,11 @@
 void request_progress::lose(std::size_t index, std::string_view cause)
 {
     relay_part &part = m_request.parts[index];
-    leaveQueue(index);
+    leaveQueue(m_state, m_request, index);
     part.step = step_kind::Lost;
     part.hedgeAt.reset();
     ++m_request.lost;
-    note(index, cause);
+    m_ending.note(index, cause);
 }
 
 bool request_progress::sendExtra(std::size_t index, bool isRetry)
@@ -224,7 +182,7 @@
         return false;
     // A hedge on a server that is itself in trouble would not come sooner, and while requests wait
     // for a server it would take the place of one that has not been sent at all.
-    if (!isRetry && (!choice.healthy || m_state.waiting.contains(part.service)))
+    if (!isRetry && (!choice.healthy || !m_state.waiting.isEmpty(part.service)))
         return false;
     extra_budget &budget = m_state.budgetOf(part.service);
     const bool allowed =
@@ -243,7 +201,7 @@
 void request_progress::retry(std::size_t index, bool costsBudget, std::string_view cause)
 {
     relay_part &part = m_request.parts[index];
-    note(index, cause);
+    m_ending.note(index, cause);
     if (!maySendAgain(part)) {
         if (part.attempts.empty())
             lose(index, "no attempt left");
@@ -324,7 +282,7 @@
     } else if (reason == leaf_failure::ConnectionLost && m_request.target->isFanOut()
                && m_request.answered == 0 && part.attempts.empty() && maySendAgain(part)) {
         ++m_request.losses;
-        note(index, "connection lost");
+        m_ending.note(index, "connection lost");
         part.hedgeAt = m_work.now + m_state.settings.requests.lossPause;
     } else {
         retry(index, true, nameOf(reason));
@@ -336,7 +294,7 @@
 {
     m_request.timer.reset();
     if (m_work.now >= m_request.deadline) {
-        fail();
+        m_ending.fail();
         return;
     }
     const bool waitIsOver = m_work.now >= m_request.waitUntil;
@@ -374,7 +332,7 @@
         return;
     }
     if (sendExtra(index, isRetry)) {
-        note(index, isRetry ? "retried" : "hedged");
+        m_ending.note(index, isRetry ? "retried" : "hedged");
         return;
     }
     if (isRetry)
@@ -385,16 +343,10 @@
 
 bool request_progress::isCrowded(const service_id &service) const
 {
-    const auto queue = m_state.waiting.find(service);
-    if (queue == m_state.waiting.end())
-        return false;
     // Requests of a lower rank would be passed. As many as are in progress are served in about the
     // time that a request waits at most.
-    const std::uint32_t rank = m_request.target->rank;
-    const auto ahead =
-        std::count_if(queue->second.begin(), queue->second.end(),
-                      [rank](const waiting_part &each) { return each.rank <= rank; });
-    return static_cast<std::size_t>(ahead) > m_state.leaves.inFlight(service);
+    return m_state.waiting.ahead(service, m_request.target->rank)
+        > m_state.leaves.inFlight(service);
 }
 
 bool request_progress::isCovered(std::size_t shards) const
@@ -410,150 +362,26 @@
 
 void request_progress::settle()
 {
-    if (m_answered)
+    if (m_ending.isEnded())
         return;
     const std::size_t all = m_request.parts.size();
     if (!isCovered(all - m_request.lost)) {
-        fail();
+        m_ending.fail();
         return;
     }
     const bool decided = m_request.answered + m_request.lost == all;
     const bool goalPassed = m_work.now >= m_request.goalAt;
     if (decided || (goalPassed && m_request.target->isFanOut() && isCovered(m_request.answered))) {
-        answerMerged();
+        m_ending.answerMerged();
         return;
     }
     if (looksHarmful() && !hasAttempts()) {
-        fail();
+        m_ending.fail();
         return;
     }
     schedule();
 }
 
-void request_progress::answerMerged()
-{
-    if (!m_request.target->isFanOut()) {
-        finish(std::move(m_request.parts.front().reply), "answered");
-        return;
-    }
-    merged_answer merged;
-    std::vector<std::string_view> bodies;
-    for (const relay_part &part : m_request.parts) {
-        if (part.step != step_kind::Answered)
-            continue;
-        merged.signatures.push_back(part.reply.signature);
-        bodies.emplace_back(part.reply.body);
-    }
-    merged.missing = m_request.parts.size() - merged.signatures.size();
-    merged.body = greatestRecords(bodies, m_request.target->topRecords);
-    const std::string_view outcome = merged.missing == 0 ? "answered" : "answered in part";
-    finish(std::move(merged), outcome);
-}
-
-void request_progress::fail()
-{
-    if (m_request.failure.has_value() && !m_request.target->isFanOut()
-        && !promisesNotRun(m_request.failure->status)) {
-        finish(*std::move(m_request.failure), "failed by server");
-        return;
-    }
-    bool mayHaveRun = m_request.failure.has_value();
-    for (std::size_t i = 0; i < m_request.parts.size(); ++i) {
-        mayHaveRun = mayHaveRun || m_request.parts[i].runs > 0;
-        if (!m_request.parts[i].attempts.empty())
-            note(i, "not answered");
-    }
-    if (!mayHaveRun) {
-        refuse(503, "unavailable", "no backend server took the request", retryHint());
-    } else if (m_work.now >= m_request.deadline) {
-        refuse(504, "timeout", "not answered in time", std::chrono::milliseconds(0));
-    } else {
-        refuse(502, "failed", "backend servers failed", std::chrono::milliseconds(0));
-    }
-}
-
-void request_progress::refuse(int status, std::string_view code, std::string_view detail,
-                              std::chrono::milliseconds retryAfter)
-{
-    refusal answer;
-    answer.status = status;
-    answer.code = code;
-    answer.detail = detail;
-    answer.execution = status == 503 ? execution_state::NotRun : execution_state::OutcomeUnknown;
-    answer.retryAfter = retryAfter;
-    finish(std::move(answer), code);
-}
-
-std::chrono::milliseconds request_progress::retryHint() const
-{
-    std::optional<time_point> trial;
-    for (const relay_part &part : m_request.parts) {
-        const auto next = m_state.leaves.nextTrial(part.service, m_work.now);
-        if (next.has_value() && (!trial.has_value() || *next > *trial))
-            trial = next;
-    }
-    const duration goal = m_request.target->latencyGoal;
-    const duration least = trial.has_value() ? *trial - m_work.now : partOf(goal, 0.25);
-    // A random part spreads the callers of one moment over the time in which servers return.
-    const auto spread = std::chrono::duration_cast<std::chrono::milliseconds>(goal).count() / 2 + 1;
-    const auto hint = std::chrono::duration_cast<std::chrono::milliseconds>(least)
-        + std::chrono::milliseconds(m_work.random(static_cast<std::uint32_t>(spread)));
-    const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(
-        partOf(m_request.deadline - m_work.now, m_state.settings.requests.longestRetryPart));
-    return std::clamp(hint, std::chrono::milliseconds(10),
-                      std::max(longest, std::chrono::milliseconds(10)));
-}
-
-void request_progress::finish(relay_answer answer, std::string_view outcome)
-{
-    m_answered = true;
-    abandonAttempts();
-    logEnd(outcome, answer);
-    const std::chrono::duration<double> took = m_work.now - m_request.arrived;
-    m_work.emit(sample_metric{"relay_request_seconds", took.count()});
-    m_work.emit(count_metric{counterOf(outcome), 1});
-    m_work.emit(answer_request{m_request.id, std::move(answer)});
-}
-
-void request_progress::abandonAttempts()
-{
-    for (std::size_t i = 0; i < m_request.parts.size(); ++i) {
-        leaveQueue(i);
-        const relay_part &part = m_request.parts[i];
-        for (const attempt_id id : part.attempts) {
-            const auto attempt = m_state.attempts.find(id.value);
-            if (attempt == m_state.attempts.end())
-                continue;
-            attempt->second.request.reset();
-            m_state.abandoned.emplace(m_work.now + m_state.settings.requests.abandonedTime,
-                                      id.value);
-        }
-    }
-}
-
-void request_progress::cancel()
-{
-    m_answered = true;
-    for (std::size_t i = 0; i < m_request.parts.size(); ++i) {
-        leaveQueue(i);
-        const relay_part &part = m_request.parts[i];
-        for (const attempt_id id : part.attempts) {
-            const auto attempt = m_state.attempts.find(id.value);
-            if (attempt == m_state.attempts.end())
-                continue;
-            attempt->second.server->onCancel(id);
-            m_state.attempts.erase(attempt);
-            m_work.emit(cancel_attempt{id});
-        }
-    }
-    m_work.count("relay_requests_total_caller_gone");
-    m_work.emit(write_log{{log_level::Info,
-                           "caller left before its answer",
-                           {{"request", m_request.request->callerId},
-                            {"route", m_request.target->name},
-                            {"after_ms", milliseconds(m_work.now - m_request.arrived)}}}});
-}
-
 std::optional<time_point> request_progress::nextDue() const
 {
     time_point next = m_request.deadline;
@@ -578,40 +406,4 @@
     m_state.timers.emplace(*next, m_request.id.value);
 }
 
-void request_progress::note(std::size_t index, std::string_view what)
-{
-    if (m_request.trail.size() >= longestTrail)
-        return;
-    const relay_part &part = m_request.parts[index];
-    const std::string_view server =
-        part.tried.empty() ? std::string_view("-") : part.tried.back()->entry().id.value;
-    fmt::format_to(std::back_inserter(m_request.trail), "{}{} {} {} at {} ms",
-                   m_request.trail.empty() ? "" : "; ", part.service.value, server, what,
-                   milliseconds(m_work.now - m_request.arrived));
-}
-
-void request_progress::logEnd(std::string_view outcome, const relay_answer &answer) const
-{
-    int status = 200;
-    if (const auto *refused = std::get_if<refusal>(&answer))
-        status = refused->status;
-    else if (const auto *reply = std::get_if<leaf_reply>(&answer))
-        status = reply->status;
-    const bool served = status >= 200 && status < 300;
-    log_entry line{served ? log_level::Info : log_level::Warning, "request ended", {}};
-    line.fields = {{"request", m_request.request->callerId},
-                   {"outcome", std::string(outcome)},
-                   {"status", std::to_string(status)},
-                   {"route", m_request.target->name},
-                   {"routes_version", std::to_string(m_request.document->version())},
-                   {"parts", fmt::format("{}/{}", m_request.answered, m_request.parts.size())},
-                   {"took_ms", milliseconds(m_work.now - m_request.arrived)},
-                   {"time_left_ms", std::to_string(timeLeft().count())}};
-    if (m_request.extras > 0)
-        line.fields.emplace_back("extra_requests", std::to_string(m_request.extras));
-    if (!m_request.trail.empty())
-        line.fields.emplace_back("trail", m_request.trail);
-    m_work.emit(write_log{std::move(line)});
-}
-
 } // namespace waxwing::relay
--- a/src/relay/request_progress.h
+++ b/src/relay/request_progress.h
@@ -1,12 +1,13 @@
 #pragma once
 
 #include "relay/relay_work.h"
+#include "relay/request_ending.h"
 
 #include <string_view>
 
 namespace waxwing::relay {
 
-/// Moves one request forward: sends its parts, hedges and retries them, and answers it.
+/// Moves one request forward: sends its parts, hedges and retries them, and decides when it ends.
 ///
 /// The load pattern that this answers: one of the servers of a fan-out pauses, fails or is silent
 /// in a good part of all requests, so each part may be asked of a second server within a budget;
@@ -27,10 +28,10 @@
     /// Sends a waiting part if a server is free now. Returns whether it waits no longer.
     bool sendWaiting(std::size_t index);
     /// The caller has gone: ends every attempt.
-    void cancel();
+    void cancel() { m_ending.cancel(); }
 
     /// Whether the request was answered and has to be removed.
-    bool isAnswered() const { return m_answered; }
+    bool isAnswered() const { return m_ending.isEnded(); }
 
 private:
     using step_kind = relay_part::step_kind;
@@ -43,7 +44,6 @@
     void retry(std::size_t index, bool costsBudget, std::string_view cause);
     void wait(std::size_t index);
     void extendWait();
-    void leaveQueue(std::size_t index);
     void lose(std::size_t index, std::string_view cause);
     void takePart(std::size_t index, leaf_reply reply);
     void hedgeStragglers();
@@ -58,22 +58,13 @@
     bool isCrowded(const service_id &service) const;
     bool isCovered(std::size_t shards) const;
     void settle();
-    void answerMerged();
-    void fail();
-    void refuse(int status, std::string_view code, std::string_view detail,
-                std::chrono::milliseconds retryAfter);
-    std::chrono::milliseconds retryHint() const;
-    void finish(relay_answer answer, std::string_view outcome);
-    void abandonAttempts();
     void schedule();
     std::optional<time_point> nextDue() const;
-    void note(std::size_t index, std::string_view what);
-    void logEnd(std::string_view outcome, const relay_answer &answer) const;
 
     const relay_work &m_work;
     relay_requests &m_state;
     running_relay &m_request;
-    bool m_answered = false;
+    request_ending m_ending;
 };
 
 } // namespace waxwing::relay
--- /dev/null
+++ b/src/relay/waiting_parts.cpp
@@ -0,0 +1,40 @@
+#include "relay/waiting_parts.h"
+
+#include <algorithm>
+
+namespace waxwing::relay {
+
+void waiting_parts::join(const service_id &service, const waiting_part &waiting)
+{
+    m_queues[service].insert(waiting);
+}
+
+void waiting_parts::leave(const service_id &service, const waiting_part &waiting)
+{
+    const auto queue = m_queues.find(service);
+    if (queue == m_queues.end())
+        return;
+    queue->second.erase(waiting);
+    if (queue->second.empty())
+        m_queues.erase(queue);
+}
+
+std::optional<waiting_part> waiting_parts::first(const service_id &service) const
+{
+    const auto queue = m_queues.find(service);
+    if (queue == m_queues.end())
+        return std::nullopt;
+    return *queue->second.begin();
+}
+
+std::size_t waiting_parts::ahead(const service_id &service, std::uint32_t rank) const
+{
+    const auto queue = m_queues.find(service);
+    if (queue == m_queues.end())
+        return 0;
+    return static_cast<std::size_t>(
+        std::count_if(queue->second.begin(), queue->second.end(),
+                      [rank](const waiting_part &each) { return each.rank <= rank; }));
+}
+
+} // namespace waxwing::relay
