--- a/src/query/fan_out.cpp
+++ b/src/query/fan_out.cpp
@@ -301,7 +301,7 @@
     if (m_search.canary.has_value())
         return canary_policy::chooseServer(m_work, m_search);
     shard_progress &progress = m_search.shards[index];
-    const auto chosen = choose(index, progress.tried);
+    auto chosen = choose(index, progress.tried);
     if (!chosen.has_value() || !m_work.environment.backends.isTrialDue(*chosen, m_work.context.now))
         return chosen;
     // A trial most likely fails. What replaces it then is paid in advance, so that it does not cost
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -128,7 +128,9 @@
             "Content-Length: 2\r\n",
         };
         for (const std::string &fields : cases) {
-            const std::string answer = exchange("POST / HTTP/1.1\r\n" + fields + "\r\nab" + hidden);
+            std::string text = "POST / HTTP/1.1\r\n";
+            text.append(fields).append("\r\nab").append(hidden);
+            const std::string answer = exchange(text);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, std::string("HTTP/1.1 400"), answer.substr(0, 12));
             CPPUNIT_ASSERT(answer.find("application/problem+json") != std::string::npos);
             // One answer only.
--- a/tests/relay/waiting_parts_test.cpp
+++ b/tests/relay/waiting_parts_test.cpp
@@ -22,23 +22,23 @@
     /// are due first.
     void servesByRankThenByTime()
     {
-        m_waiting.join(desk, urgentLate);
-        m_waiting.join(desk, patient);
-        m_waiting.join(desk, urgentSoon);
-        CPPUNIT_ASSERT(m_waiting.first(desk) == urgentSoon);
-        m_waiting.leave(desk, urgentSoon);
-        CPPUNIT_ASSERT(m_waiting.first(desk) == urgentLate);
-        m_waiting.leave(desk, urgentLate);
-        CPPUNIT_ASSERT(m_waiting.first(desk) == patient);
+        m_waiting.join(m_desk, m_urgentLate);
+        m_waiting.join(m_desk, m_patient);
+        m_waiting.join(m_desk, m_urgentSoon);
+        CPPUNIT_ASSERT(m_waiting.first(m_desk) == m_urgentSoon);
+        m_waiting.leave(m_desk, m_urgentSoon);
+        CPPUNIT_ASSERT(m_waiting.first(m_desk) == m_urgentLate);
+        m_waiting.leave(m_desk, m_urgentLate);
+        CPPUNIT_ASSERT(m_waiting.first(m_desk) == m_patient);
     }
 
     /// Guards against urgent requests that are refused because of those that they would pass.
     void countsWhatGoesFirst()
     {
-        m_waiting.join(desk, urgentSoon);
-        m_waiting.join(desk, patient);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_waiting.ahead(desk, 0));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_waiting.ahead(desk, 1));
+        m_waiting.join(m_desk, m_urgentSoon);
+        m_waiting.join(m_desk, m_patient);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_waiting.ahead(m_desk, 0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_waiting.ahead(m_desk, 1));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_waiting.ahead({"other"}, 1));
     }
 
@@ -46,21 +46,21 @@
     /// services that are gone.
     void forgetsPartsThatLeave()
     {
-        m_waiting.join(desk, patient);
-        CPPUNIT_ASSERT(!m_waiting.isEmpty(desk));
-        m_waiting.leave(desk, urgentSoon);
-        m_waiting.leave({"other"}, patient);
-        CPPUNIT_ASSERT(m_waiting.first(desk) == patient);
-        m_waiting.leave(desk, patient);
-        CPPUNIT_ASSERT(m_waiting.isEmpty(desk));
-        CPPUNIT_ASSERT(!m_waiting.first(desk).has_value());
+        m_waiting.join(m_desk, m_patient);
+        CPPUNIT_ASSERT(!m_waiting.isEmpty(m_desk));
+        m_waiting.leave(m_desk, m_urgentSoon);
+        m_waiting.leave({"other"}, m_patient);
+        CPPUNIT_ASSERT(m_waiting.first(m_desk) == m_patient);
+        m_waiting.leave(m_desk, m_patient);
+        CPPUNIT_ASSERT(m_waiting.isEmpty(m_desk));
+        CPPUNIT_ASSERT(!m_waiting.first(m_desk).has_value());
     }
 
 private:
-    const service_id desk{"desk"};
-    const waiting_part urgentSoon{0, time_point(10ms), {3}, 0};
-    const waiting_part urgentLate{0, time_point(20ms), {1}, 0};
-    const waiting_part patient{1, time_point(5ms), {2}, 0};
+    const service_id m_desk{"desk"};
+    const waiting_part m_urgentSoon{0, time_point(10ms), {3}, 0};
+    const waiting_part m_urgentLate{0, time_point(20ms), {1}, 0};
+    const waiting_part m_patient{1, time_point(5ms), {2}, 0};
     waiting_parts m_waiting;
 };
 
