Count the time for which the loop was held up as time of the caller

At 23.7 s the document grows to 1,607 routes; a host of an eighth of a core reads and adopts it for over half a second, and requests that waited in their sockets meanwhile got their whole time again (sent at 23.829, at the servers at 24.555 with 484 ms, caller gone at 24.429).

A request whose time is over is refused at once as not run. Reading such a document in slices is not part of this and stays open.

Tests: raw_server_test::knowsHowLateItReads, load_pattern_test::requestsReadLateKeepToTheTimeOfTheirCallers.

--- a/src/http/raw_server.cpp
+++ b/src/http/raw_server.cpp
@@ -15,7 +15,12 @@
 namespace {
 
 /// Interval at which idle and slow connections are looked for; a fraction of any timeout.
-constexpr timeval sweepInterval{0, 250'000};
+constexpr std::chrono::milliseconds sweepInterval{250};
+/// Lateness of a sweep from which the loop counts as held up; more than a scheduling delay.
+constexpr std::chrono::milliseconds leastHoldUp{50};
+/// Time after a late sweep in which connections are read that became readable before it: the loop
+/// takes some tens of them in each pass.
+constexpr std::chrono::milliseconds holdUpReads{20};
 /// Bytes of early requests that are kept while another one is handled.
 constexpr std::size_t earlyBytes = std::size_t{512} * 1024;
 
@@ -103,13 +108,15 @@
     }
     result->m_local = boundEndpoint(result->m_listener);
     result->m_sweepTimer.reset(event_new(base, -1, EV_PERSIST, &onSweep, result.get()));
-    event_add(result->m_sweepTimer.get(), &sweepInterval);
+    const timeval interval{0, std::chrono::microseconds(sweepInterval).count()};
+    event_add(result->m_sweepTimer.get(), &interval);
     return result;
 }
 
 raw_server::raw_server(event_base *base, const clock &time, const raw_server_settings &settings,
                        callbacks handlers)
-    : m_base(base), m_time(time), m_settings(settings), m_handlers(std::move(handlers))
+    : m_base(base), m_time(time), m_settings(settings), m_handlers(std::move(handlers)),
+      m_sweptAt(time.now())
 { }
 
 raw_server::~raw_server()
@@ -303,9 +310,23 @@
     sweep();
 }
 
+duration raw_server::readDelay() const
+{
+    const time_point now = m_time.now();
+    const time_point since = now < m_heldUpUntil ? m_heldUpSince : m_sweptAt + sweepInterval;
+    return now - since > leastHoldUp ? now - since : duration(0);
+}
+
 void raw_server::onSweep(int /*socket*/, short /*events*/, void *self)
 {
-    static_cast<raw_server *>(self)->sweep();
+    raw_server &server = *static_cast<raw_server *>(self);
+    const time_point now = server.m_time.now();
+    if (now - server.m_sweptAt > sweepInterval + leastHoldUp) {
+        server.m_heldUpSince = server.m_sweptAt + sweepInterval;
+        server.m_heldUpUntil = now + holdUpReads;
+    }
+    server.m_sweptAt = now;
+    server.sweep();
 }
 
 bool raw_server::isOverdue(const connection &peer, time_point now) const
--- a/src/http/raw_server.h
+++ b/src/http/raw_server.h
@@ -86,6 +86,9 @@
     /// Connections that may still carry a request. Those that have their last answer and wait for
     /// the peer to close do not count.
     std::size_t connections() const;
+    /// How long ago bytes that are read now may have arrived: the time for which the loop was held
+    /// up before, less the interval at which that is looked at. 0 if it was not.
+    duration readDelay() const;
     /// The address that is bound, with the port that the system chose.
     endpoint localEndpoint() const { return m_local; }
 
@@ -121,6 +124,11 @@
     evconnlistener *m_listener = nullptr;
     endpoint m_local;
     event_ptr m_sweepTimer;
+    time_point m_sweptAt;
+    /// Since when the loop was held up before the last sweep, and until when bytes of that time may
+    /// still be read.
+    time_point m_heldUpSince;
+    time_point m_heldUpUntil;
 };
 
 } // namespace waxwing::http
--- a/src/relay/relay_event.h
+++ b/src/relay/relay_event.h
@@ -17,6 +17,8 @@
     request_id id;
     /// The request.
     std::shared_ptr<const relay_request> request;
+    /// How long ago it may have arrived: the loop was held up for that time.
+    duration delay{};
 
     bool operator==(const request_received &) const = default;
 };
--- a/src/relay/relay_parts.cpp
+++ b/src/relay/relay_parts.cpp
@@ -159,7 +159,8 @@
     const auto timeLeft = received.request->timeLeft.value_or(target.longestWait);
     const auto waitedBefore = pace->waitedBefore(timeLeft);
     const duration longest = std::min(timeLeft, target.longestWait);
-    running->deadline = m_now + longest - std::min<duration>(settings.deadlineMargin, longest / 8);
+    running->deadline =
+        m_now - received.delay + longest - std::min<duration>(settings.deadlineMargin, longest / 8);
     const duration goal = target.latencyGoal;
     const auto margin =
         std::max<duration>(std::chrono::duration_cast<duration>(goal * settings.goalMarginPart),
@@ -168,6 +169,11 @@
     running->goalAt = m_now + std::max<duration>(goal - waitedBefore - margin, least);
     running->waitUntil = m_now + std::chrono::duration_cast<duration>(goal * settings.waitPart);
 
+    if (m_now >= running->deadline) {
+        // Its caller has given it up while the loop was held up.
+        answerRefusal(received, refuseUnrun(503, "too_late", "the time of the caller is over", {}));
+        return;
+    }
     if (target.isFanOut()) {
         for (const service_id &shard : target.shards)
             running->parts.push_back(partOf(shard));
--- a/src/relay_host/relay_front.cpp
+++ b/src/relay_host/relay_front.cpp
@@ -14,9 +14,10 @@
     std::unique_ptr<relay_front> result(new relay_front(codec));
     auto server = http::raw_server::create(
         base, time, settings,
-        {[&codec, onEvent](request_id id, http::raw_request message) {
+        {[&codec, onEvent, front = result.get()](request_id id, http::raw_request message) {
              onEvent(request_received{
-                 id, std::make_shared<const relay_request>(codec.readRequest(std::move(message)))});
+                 id, std::make_shared<const relay_request>(codec.readRequest(std::move(message))),
+                 front->m_server->readDelay()});
          },
          [onEvent](request_id id) { onEvent(caller_gone{id}); },
          [&metrics](http::response & /*answer*/) {
--- a/tests/http/raw_server_test.cpp
+++ b/tests/http/raw_server_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(closesConnectionsInTheirTimes);
     CPPUNIT_TEST(answersAllRequestsWhileItStops);
     CPPUNIT_TEST(sendsContinueBeforeTheBody);
+    CPPUNIT_TEST(knowsHowLateItReads);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -172,12 +173,44 @@
         CPPUNIT_ASSERT_EQUAL(std::string("ab"), m_requests[0].body);
     }
 
+    /// Guards against requests that get their whole time again after they waited in the socket
+    /// while the loop was held up.
+    void knowsHowLateItReads()
+    {
+        start(m_stillTime);
+        raw_connection peer(m_server->localEndpoint());
+        m_stillTime.at += std::chrono::milliseconds(600);
+        peer.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        waitForRequests(1);
+        CPPUNIT_ASSERT(m_delays[0] == std::chrono::milliseconds(350));
+        m_server->respond(m_ids[0], {});
+        // The next sweep ends the time in which late bytes are read.
+        m_stillTime.at += std::chrono::milliseconds(100);
+        const auto next = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+        m_loop.runUntil([next] { return std::chrono::steady_clock::now() >= next; });
+        m_stillTime.at += std::chrono::milliseconds(200);
+        peer.write("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+        waitForRequests(2);
+        CPPUNIT_ASSERT(m_delays[1] == duration(0));
+    }
+
 private:
-    void start()
+    /// Clock that a test moves.
+    class still_clock final : public clock
+    {
+    public:
+        time_point now() const override { return at; }
+        wall_time wallNow() const override { return {}; }
+        time_point at{std::chrono::hours(1)};
+    };
+
+    void start() { start(m_time); }
+    void start(const clock &time)
     {
-        auto created = raw_server::create(m_loop.base(), m_time, m_settings,
+        auto created = raw_server::create(m_loop.base(), time, m_settings,
                                           {[this](request_id id, raw_request request) {
                                                m_ids.push_back(id);
+                                               m_delays.push_back(m_server->readDelay());
                                                m_requests.push_back(std::move(request));
                                                if (m_answerAtOnce)
                                                    m_server->respond(id, {});
@@ -201,10 +234,12 @@
 
     test_loop m_loop;
     system_clock m_time;
+    still_clock m_stillTime;
     raw_server_settings m_settings;
     bool m_answerAtOnce = false;
     std::unique_ptr<raw_server> m_server;
     std::vector<request_id> m_ids;
+    std::vector<duration> m_delays;
     std::vector<raw_request> m_requests;
     std::vector<request_id> m_gone;
 };
--- a/tests/relay/load_pattern_test.cpp
+++ b/tests/relay/load_pattern_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(extraRequestsKeepToTheSharedLimit);
     CPPUNIT_TEST(overloadIsRefusedEarly);
     CPPUNIT_TEST(overloadOfSomeShardsSparesTheOthers);
+    CPPUNIT_TEST(requestsReadLateKeepToTheTimeOfTheirCallers);
     CPPUNIT_TEST(nothingRunsTwiceThatMayNot);
     CPPUNIT_TEST(crashesOfOneRequestAreBounded);
     CPPUNIT_TEST(requestsOfGoneCallersAreEnded);
@@ -392,6 +393,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.status(0).requests);
     }
 
+    /// A host takes over a large document and reads the requests of that time afterwards. Servers
+    /// would work for callers that have gone, and callers would wait for longer than they can.
+    void requestsReadLateKeepToTheTimeOfTheirCallers()
+    {
+        relay_simulation world({});
+        world.runUntil(2s);
+        for (auto &[id, server] : world.leaves)
+            server.fault = fault_kind::Dark;
+        const std::size_t late = world.send(0, "/all/x", {}, 300ms);
+        const std::size_t over = world.send(0, "/all/x", {}, 800ms);
+        CPPUNIT_ASSERT(world.requests[over].answered.has_value());
+        CPPUNIT_ASSERT_EQUAL(503, world.requests[over].status());
+        world.runUntil(4s);
+        CPPUNIT_ASSERT(world.requests[late].answered.has_value());
+        CPPUNIT_ASSERT(world.requests[late].tookMs() <= 500);
+    }
+
 private:
     /// One server in three has the fault from second 4 to 9.
     static void checkFault(fault_kind fault)
--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -160,7 +160,7 @@
 }
 
 std::size_t relay_simulation::send(std::size_t host, const std::string &target,
-                                   const std::string &body)
+                                   const std::string &body, duration delay)
 {
     const std::size_t index = requests.size();
     relay_request request;
@@ -173,7 +173,8 @@
     requests.push_back({request.callerId, host, m_now, std::nullopt, {}});
     const request_id id{++m_lastRequest};
     m_hosts[host].requestOf[id.value] = index;
-    post(host, request_received{id, std::make_shared<const relay_request>(std::move(request))});
+    post(host,
+         request_received{id, std::make_shared<const relay_request>(std::move(request)), delay});
     return index;
 }
 
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -85,7 +85,9 @@
     void load(const std::string &target, std::chrono::milliseconds from,
               std::chrono::milliseconds to, std::chrono::microseconds interval);
     /// Sends one request. Returns its place in `requests`.
-    std::size_t send(std::size_t host, const std::string &target, const std::string &body = {});
+    /// `delay` is the time for which the host was held up before it read the request.
+    std::size_t send(std::size_t host, const std::string &target, const std::string &body = {},
+                     duration delay = {});
     /// The caller of a request goes away.
     void leave(std::size_t request);
     /// Changes the document of routes.
