Ask the store without waiting while it fails

The store is silent until 13.54 s. A host repeats its watch at 13.04 s; that call is lost, but ends only at 17.5 s, with the 4 s that a watch may wait, and the change that was acknowledged at 13.6 s is in force at 19.0 s instead of within 4 s.

Ruled out: the cut of other hosts and the lossy zone (the host's log shows only these two failed calls), role changes (six hosts, each reads the store).

Change: after a failed call the next one is a watch that does not wait, which ends by the answer timeout alone; the first success goes back to long watches.

Test: store_follower_test::asksWithoutWaitingWhileTheStoreFails.

--- a/src/relay/store_follower.cpp
+++ b/src/relay/store_follower.cpp
@@ -61,7 +61,10 @@
     if (m_mustList)
         call.how = list_call{m_pages.empty() ? std::string() : m_pages.back().name};
     else if (m_role.readsStore)
-        call.how = watch_call{m_revision, m_settings.watchWait};
+        // A call that the store lost ends with its longest wait. While the store fails, a short
+        // call finds out that it is back.
+        call.how = watch_call{m_revision,
+                              m_failures > 0 ? std::chrono::milliseconds(0) : m_settings.watchWait};
     else
         call.how = watch_call{m_revision, m_settings.peerWait};
     effects.push_back(call_store{std::move(call)});
--- a/tests/relay/store_follower_test.cpp
+++ b/tests/relay/store_follower_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(listsAllPagesThenWatches);
     CPPUNIT_TEST(listsAgainOnlyWhenHistoryIsGone);
     CPPUNIT_TEST(waitsLongerAfterEachFailure);
+    CPPUNIT_TEST(asksWithoutWaitingWhileTheStoreFails);
     CPPUNIT_TEST(ignoresTheEndOfAnEarlierCall);
     CPPUNIT_TEST(hostsServeOnWhileTheStoreIsDown);
     CPPUNIT_TEST(hostsNeverGoBackToOlderRoutes);
@@ -72,6 +73,23 @@
         CPPUNIT_ASSERT_EQUAL(0U, m_follower.failures());
     }
 
+    /// Guards against a watch that is sent shortly before the end of an outage and then waits in
+    /// vain, so that the host misses changes for five seconds more.
+    void asksWithoutWaitingWhileTheStoreFails()
+    {
+        answer(nextCall(), {{}, false, 6});
+        const auto waitOf = [](const store_call &call) {
+            return std::get<watch_call>(call.how).wait;
+        };
+        store_call call = nextCall();
+        CPPUNIT_ASSERT(waitOf(call) > 1s);
+        fail(call, store_failure::NoAnswer);
+        call = nextCall();
+        CPPUNIT_ASSERT(waitOf(call) == 0ms);
+        answer(call, {{}, false, 6});
+        CPPUNIT_ASSERT(waitOf(nextCall()) > 1s);
+    }
+
     void ignoresTheEndOfAnEarlierCall()
     {
         store_call call = nextCall();
