Keep the delay of the accept for the first request of a connection

Ruled out: remembering it for longer for all connections, which takes time from requests that arrived afterwards.

Change: a connection that is accepted after a hold-up remembers when its first request may have arrived, unless that comes later than the next passes.

Test: raw_server_test::knowsHowLateItAccepts.

--- a/src/http/raw_server.cpp
+++ b/src/http/raw_server.cpp
@@ -79,6 +79,13 @@
     request_id request;
     /// Requests that arrived whole.
     std::uint64_t requests = 0;
+    /// When it was accepted.
+    time_point acceptedAt;
+    /// When the first request may have arrived, if the connection was accepted after a hold-up of
+    /// the loop. It is read in a later pass of the loop.
+    std::optional<time_point> openedAt;
+    /// How long ago the current request may have arrived when it was read.
+    duration readDelay{};
     bool keepAlive = true;
     bool isHead = false;
     bool continueSent = false;
@@ -144,6 +151,10 @@
     const std::uint64_t number = ++m_lastConnection;
     auto peer = std::make_unique<connection>(number, m_settings.messages, m_time.now());
     connection *reader = peer.get();
+    peer->acceptedAt = peer->lastByte;
+    const duration late = holdUp(peer->acceptedAt);
+    if (late > duration(0))
+        peer->openedAt = peer->acceptedAt - late;
     peer->transport = std::make_unique<stream>(
         m_base, socket, m_settings.connections,
         stream::callbacks{[this, reader](std::string_view bytes) { onBytes(*reader, bytes); },
@@ -176,6 +187,7 @@
     for (;;) {
         if (!peer.parser.hasBegun()) {
             peer.requestBegan = peer.lastByte;
+            peer.readDelay = takeReadDelay(peer);
             peer.parser.setLimits(m_settings.messages);
         }
         const std::size_t used = peer.parser.read(bytes);
@@ -310,9 +322,24 @@
     sweep();
 }
 
-duration raw_server::readDelay() const
+duration raw_server::readDelay(request_id id) const
+{
+    const auto waiting = m_waiting.find(id.value);
+    return waiting == m_waiting.end() ? duration(0) : m_connections.at(waiting->second)->readDelay;
+}
+
+duration raw_server::takeReadDelay(connection &peer) const
+{
+    const time_point now = peer.lastByte;
+    const duration late = holdUp(now);
+    const auto openedAt = std::exchange(peer.openedAt, std::nullopt);
+    // A first request that comes later than the next passes was not there when it was accepted.
+    const bool waited = openedAt.has_value() && now - late - peer.acceptedAt <= sweepInterval;
+    return waited ? now - *openedAt : late;
+}
+
+duration raw_server::holdUp(time_point now) const
 {
-    const time_point now = m_time.now();
     const time_point since = now < m_heldUpUntil ? m_heldUpSince : m_sweptAt + sweepInterval;
     return now - since > leastHoldUp ? now - since : duration(0);
 }
--- a/src/http/raw_server.h
+++ b/src/http/raw_server.h
@@ -86,9 +86,9 @@
     /// Connections that may still carry a request. Those that have their last answer and wait for
     /// the peer to close do not count.
     std::size_t connections() const;
-    /// How long ago bytes that are read now may have arrived: the time for which the loop was held
-    /// up before, less the interval at which that is looked at. 0 if it was not.
-    duration readDelay() const;
+    /// How long ago the unanswered request may have arrived before it was read: the time for which
+    /// the loop was held up, less the interval at which that is looked at. 0 if it was not.
+    duration readDelay(request_id id) const;
     /// The address that is bound, with the port that the system chose.
     endpoint localEndpoint() const { return m_local; }
 
@@ -101,6 +101,8 @@
                          void *self);
     static void onSweep(int socket, short events, void *self);
     void accept(int socket);
+    duration holdUp(time_point now) const;
+    duration takeReadDelay(connection &peer) const;
     void onBytes(connection &peer, std::string_view bytes);
     void consume(connection &peer, std::string_view bytes);
     void advance(connection &peer);
--- a/src/relay_host/relay_front.cpp
+++ b/src/relay_host/relay_front.cpp
@@ -17,7 +17,7 @@
         {[&codec, onEvent, front = result.get()](request_id id, http::raw_request message) {
              onEvent(request_received{
                  id, std::make_shared<const relay_request>(codec.readRequest(std::move(message))),
-                 front->m_server->readDelay()});
+                 front->m_server->readDelay(id)});
          },
          [onEvent](request_id id) { onEvent(caller_gone{id}); },
          [&metrics](http::response & /*answer*/) {
--- a/tests/http/raw_server_test.cpp
+++ b/tests/http/raw_server_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(answersAllRequestsWhileItStops);
     CPPUNIT_TEST(sendsContinueBeforeTheBody);
     CPPUNIT_TEST(knowsHowLateItReads);
+    CPPUNIT_TEST(knowsHowLateItAccepts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,14 +187,38 @@
         m_server->respond(m_ids[0], {});
         // The next sweep ends the time in which late bytes are read.
         m_stillTime.at += std::chrono::milliseconds(100);
-        const auto next = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
-        m_loop.runUntil([next] { return std::chrono::steady_clock::now() >= next; });
+        waitForSweep();
         m_stillTime.at += std::chrono::milliseconds(200);
         peer.write("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
         waitForRequests(2);
         CPPUNIT_ASSERT(m_delays[1] == duration(0));
     }
 
+    /// Guards against the whole time again for the first request of a connection that waited to be
+    /// accepted: it is read in a later pass of the loop, which a busy host reaches late.
+    void knowsHowLateItAccepts()
+    {
+        start(m_stillTime);
+        raw_connection peer(m_server->localEndpoint());
+        raw_connection idle(m_server->localEndpoint());
+        m_stillTime.at += std::chrono::milliseconds(600);
+        m_loop.runUntil([this] { return m_server->connections() == 2; });
+        m_stillTime.at += std::chrono::milliseconds(180);
+        peer.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        waitForRequests(1);
+        CPPUNIT_ASSERT(m_delays[0] == std::chrono::milliseconds(530));
+        m_server->respond(m_ids[0], {});
+        waitForSweep();
+        m_stillTime.at += std::chrono::milliseconds(100);
+        peer.write("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+        waitForRequests(2);
+        CPPUNIT_ASSERT(m_delays[1] == duration(0));
+        // It had nothing to read when it was accepted.
+        idle.write("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+        waitForRequests(3);
+        CPPUNIT_ASSERT(m_delays[2] == duration(0));
+    }
+
 private:
     /// Clock that a test moves.
     class still_clock final : public clock
@@ -210,7 +235,7 @@
         auto created = raw_server::create(m_loop.base(), time, m_settings,
                                           {[this](request_id id, raw_request request) {
                                                m_ids.push_back(id);
-                                               m_delays.push_back(m_server->readDelay());
+                                               m_delays.push_back(m_server->readDelay(id));
                                                m_requests.push_back(std::move(request));
                                                if (m_answerAtOnce)
                                                    m_server->respond(id, {});
@@ -220,6 +245,12 @@
         CPPUNIT_ASSERT(created.ok());
         m_server = *std::move(created);
     }
+    /// Sweeps come each 250 ms of real time.
+    void waitForSweep()
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+        m_loop.runUntil([end] { return std::chrono::steady_clock::now() >= end; });
+    }
     void waitForRequests(std::size_t count)
     {
         m_loop.runUntil([this, count] { return m_requests.size() >= count; });
