Answer hosts that ask from the same revision once

The reshard brings hundreds of registrations in one answer, and store_desk copied and relay_process formatted them for each of the waiting hosts, on an eighth of a core.

Ruled out: log lines, of which 60 a second are formatted at most.

Change: answer_peer names all questions that have the same answer, which is made and formatted once.

--- a/src/relay/relay_effect.h
+++ b/src/relay/relay_effect.h
@@ -65,11 +65,11 @@
     bool operator==(const call_store &) const = default;
 };
 
-/// Answer another host that asked for what the store holds.
+/// Answer other hosts that asked for what the store holds.
 struct answer_peer
 {
-    /// Number of the question.
-    request_id id;
+    /// Numbers of the questions that have the same answer.
+    std::vector<request_id> ids;
     /// The answer.
     std::variant<store_answer, store_failure> answer;
 
--- a/src/relay/store_desk.cpp
+++ b/src/relay/store_desk.cpp
@@ -1,6 +1,8 @@
 #include "relay/store_desk.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace waxwing::relay {
 
@@ -37,24 +39,27 @@
 {
     // Hosts that ask turn to another one, or to the store.
     m_kinds[kind].confirmedAt.reset();
-    std::erase_if(m_waiting, [kind, &effects](const auto &entry) {
+    std::vector<request_id> refused;
+    std::erase_if(m_waiting, [kind, &refused](const auto &entry) {
         if (entry.second.call.kind != kind)
             return false;
-        effects.push_back(answer_peer{{entry.first}, store_failure::Unavailable});
+        refused.push_back({entry.first});
         return true;
     });
+    if (!refused.empty())
+        effects.push_back(answer_peer{std::move(refused), store_failure::Unavailable});
 }
 
 void store_desk::onAsked(const peer_asked &asked, time_point now, relay_effect_list &effects)
 {
     const kind_state &state = m_kinds[asked.call.kind];
     if (!isCurrent(state, now)) {
-        effects.push_back(answer_peer{asked.id, store_failure::Unavailable});
+        effects.push_back(answer_peer{{asked.id}, store_failure::Unavailable});
         return;
     }
     const auto *watch = std::get_if<watch_call>(&asked.call.how);
     if (watch == nullptr) {
-        effects.push_back(answer_peer{asked.id, state.copy.list()});
+        effects.push_back(answer_peer{{asked.id}, state.copy.list()});
         return;
     }
     m_waiting[asked.id.value] = {asked.call, now + watch->wait};
@@ -63,20 +68,29 @@
 
 void store_desk::answerWaiting(followed_kind kind, time_point now, relay_effect_list &effects)
 {
-    const kind_state &state = m_kinds[kind];
-    std::erase_if(m_waiting, [&](const auto &entry) {
-        if (entry.second.call.kind != kind)
-            return false;
-        const auto changes =
-            state.copy.changesAfter(std::get<watch_call>(entry.second.call.how).revision);
-        if (!changes.has_value())
-            effects.push_back(answer_peer{{entry.first}, store_failure::HistoryGone});
-        else if (!changes->objects.empty() || now >= entry.second.until)
-            effects.push_back(answer_peer{{entry.first}, *changes});
+    const store_copy &copy = m_kinds[kind].copy;
+    std::map<std::uint64_t, std::vector<request_id>> asked;
+    for (const auto &[id, waiting] : m_waiting) {
+        if (waiting.call.kind == kind)
+            asked[std::get<watch_call>(waiting.call.how).revision].push_back({id});
+    }
+    // The hosts of a zone wait with the same revision. A large answer is made and formatted once,
+    // not for each of them.
+    for (auto &[revision, ids] : asked) {
+        auto changes = copy.changesAfter(revision);
+        if (changes.has_value() && changes->objects.empty()) {
+            std::erase_if(
+                ids, [this, now](request_id id) { return now < m_waiting.at(id.value).until; });
+        }
+        if (ids.empty())
+            continue;
+        for (const request_id id : ids)
+            m_waiting.erase(id.value);
+        if (changes.has_value())
+            effects.push_back(answer_peer{std::move(ids), *std::move(changes)});
         else
-            return false;
-        return true;
-    });
+            effects.push_back(answer_peer{std::move(ids), store_failure::HistoryGone});
+    }
 }
 
 void store_desk::onGone(request_id id)
@@ -93,9 +107,9 @@
         if (isCurrent(state, now)) {
             store_answer unchanged;
             unchanged.revision = state.copy.revision();
-            effects.push_back(answer_peer{{entry.first}, std::move(unchanged)});
+            effects.push_back(answer_peer{{{entry.first}}, std::move(unchanged)});
         } else {
-            effects.push_back(answer_peer{{entry.first}, store_failure::Unavailable});
+            effects.push_back(answer_peer{{{entry.first}}, store_failure::Unavailable});
         }
         return true;
     });
--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -170,11 +170,18 @@
             else if constexpr (std::is_same_v<kind, exit_process>)
                 exitSoon();
             else if constexpr (std::is_same_v<kind, answer_peer>)
-                m_peers->respond(each.id, m_codec.formatStoreOutcome(each.answer));
+                answerPeers(each);
         },
         action);
 }
 
+void relay_process::answerPeers(const answer_peer &action)
+{
+    const http::response content = m_codec.formatStoreOutcome(action.answer);
+    for (const request_id id : action.ids)
+        m_peers->respond(id, content);
+}
+
 void relay_process::run(std::uint64_t randomSeed)
 {
     m_log.write({log_level::Info,
--- a/src/relay_host/relay_process.h
+++ b/src/relay_host/relay_process.h
@@ -42,6 +42,7 @@
     void respondToProbe(const http::request &message, http::responder reply) const;
     void respondToObserver(const http::request &message, http::responder reply) const;
     void reload();
+    void answerPeers(const answer_peer &action);
     void onPeerRequest(request_id id, const http::raw_request &message);
     void exitSoon();
     static void onFlush(int socket, short events, void *self);
--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -235,11 +235,13 @@
         else
             callStore(host, call->call);
     } else if (const auto *answered = std::get_if<answer_peer>(&action)) {
-        const auto question = m_questions.at(answered->id.value);
-        m_questions.erase(answered->id.value);
-        schedule(2ms, [this, question, outcome = answered->answer] {
-            post(question.first, store_called{question.second, outcome});
-        });
+        for (const request_id id : answered->ids) {
+            const auto question = m_questions.at(id.value);
+            m_questions.erase(id.value);
+            schedule(2ms, [this, question, outcome = answered->answer] {
+                post(question.first, store_called{question.second, outcome});
+            });
+        }
     } else if (const auto *datagram = std::get_if<send_datagram>(&action)) {
         for (std::size_t to = 0; to < m_hosts.size(); ++to) {
             if (m_hosts[to].gossip == datagram->to) {
