--- a/src/relay/request_ending.cpp
+++ b/src/relay/request_ending.cpp
@@ -119,37 +119,36 @@
     m_work.emit(answer_request{m_request.id, std::move(answer)});
 }
 
-void request_ending::abandonAttempts()
+template<typename End>
+void request_ending::endAttempts(End end)
 {
     for (std::size_t i = 0; i < m_request.parts.size(); ++i) {
         leaveQueue(m_state, m_request, i);
-        const relay_part &part = m_request.parts[i];
-        for (const attempt_id id : part.attempts) {
+        for (const attempt_id id : m_request.parts[i].attempts) {
             const auto attempt = m_state.attempts.find(id.value);
-            if (attempt == m_state.attempts.end())
-                continue;
-            attempt->second.request.reset();
-            m_state.abandoned.emplace(m_work.now + m_state.settings.requests.abandonedTime,
-                                      id.value);
+            if (attempt != m_state.attempts.end())
+                end(id, attempt);
         }
     }
 }
 
+void request_ending::abandonAttempts()
+{
+    const time_point until = m_work.now + m_state.settings.requests.abandonedTime;
+    endAttempts([this, until](attempt_id id, auto attempt) {
+        attempt->second.request.reset();
+        m_state.abandoned.emplace(until, id.value);
+    });
+}
+
 void request_ending::cancel()
 {
     m_ended = true;
-    for (std::size_t i = 0; i < m_request.parts.size(); ++i) {
-        leaveQueue(m_state, m_request, i);
-        const relay_part &part = m_request.parts[i];
-        for (const attempt_id id : part.attempts) {
-            const auto attempt = m_state.attempts.find(id.value);
-            if (attempt == m_state.attempts.end())
-                continue;
-            attempt->second.server->onCancel(id);
-            m_state.attempts.erase(attempt);
-            m_work.emit(cancel_attempt{id});
-        }
-    }
+    endAttempts([this](attempt_id id, auto attempt) {
+        attempt->second.server->onCancel(id);
+        m_state.attempts.erase(attempt);
+        m_work.emit(cancel_attempt{id});
+    });
     m_work.count("relay_requests_total_caller_gone");
     m_work.emit(write_log{{log_level::Info,
                            "caller left before its answer",
--- a/src/relay/request_ending.h
+++ b/src/relay/request_ending.h
@@ -37,6 +37,9 @@
 private:
     void finish(relay_answer answer, std::string_view outcome);
     void abandonAttempts();
+    /// Takes all parts out of their queues and hands each attempt that is in progress to `end`.
+    template<typename End>
+    void endAttempts(End end);
     void logEnd(std::string_view outcome, const relay_answer &answer) const;
 
     const relay_work &m_work;
