Take hold-ups of the loop that follow each other as one

Change: without a beat in time between them hold-ups count from the first. The rule is hold_up_watch now, apart from the server's sockets.

--- a/src/http/raw_server.cpp
+++ b/src/http/raw_server.cpp
@@ -14,13 +14,6 @@
 namespace waxwing::http {
 namespace {
 
-/// Interval at which idle and slow connections are looked for; a fraction of any timeout.
-constexpr std::chrono::milliseconds sweepInterval{250};
-/// Lateness of a sweep from which the loop counts as held up; more than a scheduling delay.
-constexpr std::chrono::milliseconds leastHoldUp{50};
-/// Time after a late sweep in which connections are read that became readable before it: the loop
-/// takes some tens of them in each pass.
-constexpr std::chrono::milliseconds holdUpReads{20};
 /// Bytes of early requests that are kept while another one is handled.
 constexpr std::size_t earlyBytes = std::size_t{512} * 1024;
 
@@ -115,7 +108,7 @@
     }
     result->m_local = boundEndpoint(result->m_listener);
     result->m_sweepTimer.reset(event_new(base, -1, EV_PERSIST, &onSweep, result.get()));
-    const timeval interval{0, std::chrono::microseconds(sweepInterval).count()};
+    const timeval interval{0, std::chrono::microseconds(hold_up_watch::beatInterval).count()};
     event_add(result->m_sweepTimer.get(), &interval);
     return result;
 }
@@ -123,7 +116,7 @@
 raw_server::raw_server(event_base *base, const clock &time, const raw_server_settings &settings,
                        callbacks handlers)
     : m_base(base), m_time(time), m_settings(settings), m_handlers(std::move(handlers)),
-      m_sweptAt(time.now())
+      m_holdUps(time.now())
 { }
 
 raw_server::~raw_server()
@@ -152,7 +145,7 @@
     auto peer = std::make_unique<connection>(number, m_settings.messages, m_time.now());
     connection *reader = peer.get();
     peer->acceptedAt = peer->lastByte;
-    const duration late = holdUp(peer->acceptedAt);
+    const duration late = m_holdUps.delay(peer->acceptedAt);
     if (late > duration(0))
         peer->openedAt = peer->acceptedAt - late;
     peer->transport = std::make_unique<stream>(
@@ -331,28 +324,18 @@
 duration raw_server::takeReadDelay(connection &peer) const
 {
     const time_point now = peer.lastByte;
-    const duration late = holdUp(now);
+    const duration late = m_holdUps.delay(now);
     const auto openedAt = std::exchange(peer.openedAt, std::nullopt);
     // A first request that comes later than the next passes was not there when it was accepted.
-    const bool waited = openedAt.has_value() && now - late - peer.acceptedAt <= sweepInterval;
+    const bool waited =
+        openedAt.has_value() && now - late - peer.acceptedAt <= hold_up_watch::beatInterval;
     return waited ? now - *openedAt : late;
 }
 
-duration raw_server::holdUp(time_point now) const
-{
-    const time_point since = now < m_heldUpUntil ? m_heldUpSince : m_sweptAt + sweepInterval;
-    return now - since > leastHoldUp ? now - since : duration(0);
-}
-
 void raw_server::onSweep(int /*socket*/, short /*events*/, void *self)
 {
     raw_server &server = *static_cast<raw_server *>(self);
-    const time_point now = server.m_time.now();
-    if (now - server.m_sweptAt > sweepInterval + leastHoldUp) {
-        server.m_heldUpSince = server.m_sweptAt + sweepInterval;
-        server.m_heldUpUntil = now + holdUpReads;
-    }
-    server.m_sweptAt = now;
+    server.m_holdUps.onBeat(server.m_time.now());
     server.sweep();
 }
 
--- a/src/http/raw_server.h
+++ b/src/http/raw_server.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/endpoint.h"
 #include "core/strong_id.h"
+#include "http/hold_up_watch.h"
 #include "http/message_parser.h"
 #include "http/stream.h"
 
@@ -101,7 +102,6 @@
                          void *self);
     static void onSweep(int socket, short events, void *self);
     void accept(int socket);
-    duration holdUp(time_point now) const;
     duration takeReadDelay(connection &peer) const;
     void onBytes(connection &peer, std::string_view bytes);
     void consume(connection &peer, std::string_view bytes);
@@ -126,11 +126,7 @@
     evconnlistener *m_listener = nullptr;
     endpoint m_local;
     event_ptr m_sweepTimer;
-    time_point m_sweptAt;
-    /// Since when the loop was held up before the last sweep, and until when bytes of that time may
-    /// still be read.
-    time_point m_heldUpSince;
-    time_point m_heldUpUntil;
+    hold_up_watch m_holdUps;
 };
 
 } // namespace waxwing::http
