Allow a number of crashes from which other hosts are told

Each loss of a connection is told to all 295 hosts and logged there: 12,500 to 18,000 lines a second on the fleet, while servers leave and their changes come late (DRAIN 19 to 33).

Ruled out: telling at the third crash, when the request is refused. Each host would need three crashes of its own.

--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -90,6 +90,8 @@
         return;
     known->expires = now + m_settings.listedFor;
     raiseCrashCount(fingerprint, *known, known->crashes + 1, now);
+    if (known->crashes < m_settings.crashesToPublish)
+        return;
     m_observations.push_back(
         {fmt::format("{:016x}", fingerprint), known->crashes, m_settings.listedFor});
 }
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -22,6 +22,8 @@
 {
     /// Number of crashes from which a request is refused.
     std::uint32_t crashesToList = 2;
+    /// Number of crashes from which the other hosts are told.
+    std::uint32_t crashesToPublish = 1;
     /// Requests that reach `crashesToList` within this time of each other are assumed to have run
     /// on the same server, perhaps sent by different hosts. Only one of them is the cause, so each
     /// needs one more crash to be refused.
--- a/tests/quarantine/request_quarantine_test.cpp
+++ b/tests/quarantine/request_quarantine_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(listedRequestIsRefusedUntilItExpires);
     CPPUNIT_TEST(lossOfAZoneListsNoRequests);
     CPPUNIT_TEST(crashReportedByTwoHostsIsCountedOnce);
+    CPPUNIT_TEST(singleLossIsNotPublishedIfTwoAreRequired);
     CPPUNIT_TEST(canaryWaveAddsLessThan8Milliseconds);
     CPPUNIT_TEST_SUITE_END();
 
@@ -180,6 +181,24 @@
         CPPUNIT_ASSERT(quarantine.listedFor(fingerprint, now + 7ms).has_value());
     }
 
+    /// Guards against a fleet whose hosts spend most of their time on facts about single lost
+    /// answers, which are followed by the answer to a retry.
+    void singleLossIsNotPublishedIfTwoAreRequired()
+    {
+        request_quarantine quarantine({.crashesToList = 3, .crashesToPublish = 2});
+        const time_point now{1h};
+        const auto lost = requestFingerprint({"desk"}, "lost answer");
+        quarantine.onConnectionLost({"desk"}, lost, {"a"}, now - 5ms, now);
+        quarantine.onAnswer(lost, now + 5ms);
+        CPPUNIT_ASSERT(quarantine.takeObservations().empty());
+        const auto harmful = requestFingerprint({"desk"}, "harmful");
+        quarantine.onConnectionLost({"desk"}, harmful, {"a"}, now + 10ms, now + 15ms);
+        quarantine.onConnectionLost({"desk"}, harmful, {"b"}, now + 20ms, now + 25ms);
+        const auto published = quarantine.takeObservations();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, published.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, published[0].crashes);
+    }
+
     /// Guards against a canary wave that takes longer than one typical leaf latency; prints the
     /// latencies of known and new requests.
     void canaryWaveAddsLessThan8Milliseconds()
