Compress changes for other hosts and send only the newest of each object

A reader sends 270 objects of 330 bytes to 49 hosts: 4.4 MB over a link of 20 Mbit/s. From 9 to 18 s the division of the index makes 2,000 changes to 405 servers, all of which were sent. Hosts also wrote a line for each registration (20,000 a second on the fleet) and recomputed roles, budgets and connections with each datagram that brought a member.

A tree of hosts: two hops more, and each host would depend on more others. Readers with large links: members do not tell their capacity.

Change: answers to other hosts are compressed (zlib) if the caller accepts it, so that hosts of other versions still understand each other; an object that changed several times is sent once; one log line an update with counts and the first 20 names of each kind; roles, budgets and connections follow the members at most every 200 ms; relay hosts tell others of a lost connection from the second loss on.

--- a/src/relay/peer_store_server.cpp
+++ b/src/relay/peer_store_server.cpp
@@ -58,7 +58,8 @@
     }
     const auto *watch = std::get_if<watch_call>(&asked.call.how);
     if (watch == nullptr) {
-        effects.push_back(answer_peer{{asked.id}, state.cache.list()});
+        effects.push_back(
+            answer_peer{{asked.id}, state.cache.list(), asked.call.acceptsCompression});
         return;
     }
     m_waiting[asked.id.value] = {asked.call, now + watch->wait};
@@ -69,14 +70,17 @@
                                            relay_effect_list &effects)
 {
     const store_cache &cache = m_caches[kind].cache;
-    std::map<std::uint64_t, std::vector<request_id>> waitingByRevision;
+    std::map<std::pair<std::uint64_t, bool>, std::vector<request_id>> groups;
     for (const auto &[id, waiting] : m_waiting) {
-        if (waiting.call.kind == kind)
-            waitingByRevision[std::get<watch_call>(waiting.call.how).revision].push_back({id});
+        const store_call &call = waiting.call;
+        if (call.kind == kind)
+            groups[{std::get<watch_call>(call.how).revision, call.acceptsCompression}].push_back(
+                {id});
     }
     // The hosts of a zone usually wait for the same revision. Grouping them means that a large
     // answer is built and formatted only once.
-    for (auto &[revision, ids] : waitingByRevision) {
+    for (auto &[key, ids] : groups) {
+        const auto [revision, compressed] = key;
         auto changes = cache.changesAfter(revision);
         if (changes.has_value() && changes->objects.empty()) {
             std::erase_if(
@@ -87,7 +91,7 @@
         for (const request_id id : ids)
             m_waiting.erase(id.value);
         if (changes.has_value())
-            effects.push_back(answer_peer{std::move(ids), *std::move(changes)});
+            effects.push_back(answer_peer{std::move(ids), *std::move(changes), compressed});
         else
             effects.push_back(answer_peer{std::move(ids), store_failure::HistoryGone});
     }
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -381,6 +381,10 @@
     const std::uint64_t version = m_parts.members.activeVersion();
     if (m_parts.appliedMembersVersion == version)
         return;
+    m_parts.hasMembersToApply = m_now < m_parts.nextMembersApplyAt;
+    if (m_parts.hasMembersToApply)
+        return;
+    m_parts.nextMembersApplyAt = m_now + m_parts.settings.membersApplyInterval;
     m_parts.appliedMembersVersion = version;
     store_update_handler(m_parts, m_now, m_effects).updateRole();
     const std::size_t hostsBefore = requests.hosts;
--- a/src/relay/relay_dispatch.h
+++ b/src/relay/relay_dispatch.h
@@ -36,6 +36,10 @@
     /// Membership version that the connection limits and budgets were last divided by; empty to
     /// divide them again after the next event.
     std::optional<std::uint64_t> appliedMembersVersion;
+    /// When roles, budgets and connection limits may follow the membership again.
+    time_point nextMembersApplyAt{};
+    /// Whether a change of the membership waits for `nextMembersApplyAt`.
+    bool hasMembersToApply = false;
 };
 
 /// Handles one event by passing it to the components that it affects. Lives as long as the event.
--- a/src/relay/relay_effect.h
+++ b/src/relay/relay_effect.h
@@ -63,6 +63,8 @@
     /// Requests that get the same answer.
     std::vector<request_id> ids;
     std::variant<store_answer, store_failure> answer;
+    /// Whether the answer is sent compressed.
+    bool compressed = false;
 
     bool operator==(const answer_peer &) const = default;
 };
--- a/src/relay/relay_reducer.cpp
+++ b/src/relay/relay_reducer.cpp
@@ -35,6 +35,8 @@
     consider(m_parts->peerAnswers.nextDeadline());
     consider(m_parts->members.nextDeadline());
     consider(m_parts->stop.nextDeadline());
+    if (m_parts->hasMembersToApply)
+        consider(m_parts->nextMembersApplyAt);
     return earliest;
 }
 
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -22,7 +22,8 @@
     std::chrono::milliseconds deadlineMargin{8};
     /// Fraction of the latency goal reserved for the network round trip to the caller.
     double goalMarginFraction = 0.12;
-    /// Lower bound of the time reserved for that round trip.
+    /// Lower bound of the time reserved for that round trip, and for the one that opens the
+    /// connection if it is new.
     std::chrono::milliseconds minGoalMargin{12};
     /// Minimum time until a request that the caller resent is answered without its missing parts,
     /// as a fraction of the latency goal.
@@ -81,10 +82,14 @@
     /// Selection of the hosts that call the store.
     store_roles_settings roles;
     /// Quarantine of requests that crash servers. Two answers to a caller may be lost by chance, so
-    /// three crashes are required.
-    quarantine_settings quarantine{.crashesToList = 3};
+    /// three crashes are required. A single loss is usually followed by the answer to a retry; a
+    /// large fleet that tells every host of each would spend most of its time on it.
+    quarantine_settings quarantine{.crashesToList = 3, .crashesToPublish = 2};
     /// Membership of the other relay hosts.
     membership_settings members;
+    /// Minimum time between two changes of roles, budgets and connection limits to the known hosts.
+    /// While a fleet starts, the known hosts change with every datagram.
+    std::chrono::milliseconds membersApplyInterval{200};
     /// Time after a stop request during which new requests are still accepted. The platform probes
     /// readiness once a second and stops sending requests after the second failed probe.
     std::chrono::milliseconds stopNotice{2400};
--- a/src/relay/store_cache.cpp
+++ b/src/relay/store_cache.cpp
@@ -1,6 +1,8 @@
 #include "relay/store_cache.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace waxwing::relay {
 
@@ -58,10 +60,12 @@
         return std::nullopt;
     store_answer answer;
     answer.revision = m_revision;
-    for (const store_object &change : m_changes) {
-        if (change.revision > revision)
-            answer.objects.push_back(change);
+    std::set<std::string_view> newest;
+    for (auto change = m_changes.rbegin(); change != m_changes.rend(); ++change) {
+        if (change->revision > revision && newest.insert(change->name).second)
+            answer.objects.push_back(*change);
     }
+    std::reverse(answer.objects.begin(), answer.objects.end());
     return answer;
 }
 
--- a/src/relay/store_types.h
+++ b/src/relay/store_types.h
@@ -77,6 +77,8 @@
     std::variant<list_call, watch_call> how;
     /// Host that receives the call in place of the store; empty for the store itself.
     std::optional<endpoint> source{};
+    /// Whether the caller accepts a compressed answer.
+    bool acceptsCompression = false;
 
     bool operator==(const store_call &) const = default;
 };
--- a/src/relay/store_update_handler.cpp
+++ b/src/relay/store_update_handler.cpp
@@ -2,8 +2,11 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace waxwing::relay {
 namespace {
@@ -13,6 +16,15 @@
     return kind == store_object_kind::Routes ? "routes" : "servers";
 }
 
+/// Names that a log line lists of each kind of change; the rest is only counted.
+constexpr std::size_t maxLoggedNames = 20;
+
+std::string firstNames(const std::vector<std::string> &names)
+{
+    const auto count = static_cast<std::ptrdiff_t>(std::min(names.size(), maxLoggedNames));
+    return fmt::format("{}", fmt::join(names.begin(), names.begin() + count, " "));
+}
+
 bool isStale(const store_call &call)
 {
     const auto *list = std::get_if<list_call>(&call.how);
@@ -131,6 +143,7 @@
 {
     leaf_pool &leaves = m_parts.requests.leaves;
     std::set<server_id> listed;
+    registration_summary summary;
     std::size_t unusable = 0;
     std::set<service_id> changed;
     for (const store_object &object : update.objects) {
@@ -139,17 +152,17 @@
             leaves.markUnlisted({object.name}, m_now);
             unusable += object.removed ? 0 : 1;
             if (object.removed)
-                appendLog(m_effects, log_level::Info, "backend server is not registered any more",
-                          {{"server", object.name}, {"revision", fmt::to_string(object.revision)}});
+                summary.removed.push_back(object.name);
             continue;
         }
         listed.insert(entry->id);
         changed.insert(entry->service);
         if (const auto oldAddress = leaves.put(*entry, m_now))
             m_effects.emplace_back(close_idle_connections{*oldAddress});
-        if (!update.isComplete)
-            logRegistration(*entry, object.revision);
+        (entry->leaving ? summary.leaving : summary.registered).push_back(object.name);
     }
+    if (!update.isComplete)
+        logRegistrations(summary);
     if (unusable > 0)
         appendLog(m_effects, log_level::Warning, "ignored registrations that cannot be used",
                   {{"count", fmt::to_string(unusable)}});
@@ -165,14 +178,16 @@
     return changed;
 }
 
-void store_update_handler::logRegistration(const registered_server &entry, std::uint64_t revision)
+void store_update_handler::logRegistrations(const registration_summary &summary)
 {
-    appendLog(m_effects, log_level::Info, "backend server registered",
-              {{"server", entry.id.value},
-               {"service", entry.service.value},
-               {"address", entry.address.toString()},
-               {"leaving", entry.leaving ? "yes" : "no"},
-               {"revision", fmt::to_string(revision)}});
+    appendLog(m_effects, log_level::Info, "backend servers changed",
+              {{"registered", fmt::to_string(summary.registered.size())},
+               {"leaving", fmt::to_string(summary.leaving.size())},
+               {"removed", fmt::to_string(summary.removed.size())},
+               {"registered_servers", firstNames(summary.registered)},
+               {"leaving_servers", firstNames(summary.leaving)},
+               {"removed_servers", firstNames(summary.removed)},
+               {"revision", fmt::to_string(m_parts.servers.revision())}});
 }
 
 void store_update_handler::removeUnlisted()
--- a/src/relay/store_update_handler.h
+++ b/src/relay/store_update_handler.h
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace waxwing::relay {
 
@@ -23,6 +25,14 @@
     void updateRole();
 
 private:
+    /// Names of the servers in an update, by the kind of change.
+    struct registration_summary
+    {
+        std::vector<std::string> registered;
+        std::vector<std::string> leaving;
+        std::vector<std::string> removed;
+    };
+
     /// Passes the result of a call to the cache from which other hosts are answered.
     void shareWithPeers(const store_call_ended &called, const std::optional<store_update> &update,
                         std::uint64_t revision);
@@ -32,7 +42,7 @@
     void applyRoutes(const store_object &object,
                      const std::shared_ptr<const route_document> &document);
     std::set<service_id> applyServers(const store_update &update);
-    void logRegistration(const registered_server &entry, std::uint64_t revision);
+    void logRegistrations(const registration_summary &summary);
 
     relay_state::parts &m_parts;
     time_point m_now;
--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -1,5 +1,6 @@
 #include "relay_host/relay_process.h"
 
+#include "http/content_coding.h"
 #include "settings/settings_file.h"
 
 #include <event2/event.h>
@@ -17,6 +18,8 @@
 
 /// Time to send the last answers between `exit_process` and the end of the event loop.
 constexpr timeval exitDelay{0, 50'000};
+/// Size from which answers to other hosts are compressed, in bytes. Smaller ones fit in a packet.
+constexpr std::size_t minCompressedBytes = 1024;
 /// Interval at which buffered log lines are written.
 constexpr timeval flushInterval{0, 500'000};
 
@@ -149,10 +152,14 @@
 void relay_process::onPeerRequest(request_id id, const http::raw_request &message)
 {
     constexpr int badRequest = 400;
-    if (auto call = m_codec.readStoreCall(message))
-        m_loop->post(peer_request_received{id, *std::move(call)});
-    else
+    auto call = m_codec.readStoreCall(message);
+    if (!call.has_value()) {
         m_peerServer->respond(id, {badRequest, {}, {}});
+        return;
+    }
+    const std::string *codings = http::findField(message.headers, "Accept-Encoding");
+    call->acceptsCompression = codings != nullptr && *codings == http::deflateCoding;
+    m_loop->post(peer_request_received{id, *std::move(call)});
 }
 
 void relay_process::carryOut(const relay_effect &action)
@@ -178,7 +185,11 @@
 
 void relay_process::answerPeers(const answer_peer &action)
 {
-    const http::response content = m_codec.formatStoreOutcome(action.answer);
+    http::response content = m_codec.formatStoreOutcome(action.answer);
+    if (action.compressed && content.body.size() >= minCompressedBytes) {
+        content.body = http::deflated(content.body);
+        content.headers.emplace_back("Content-Encoding", http::deflateCoding);
+    }
     for (const request_id id : action.ids)
         m_peerServer->respond(id, content);
 }
--- a/src/relay_host/store_client.cpp
+++ b/src/relay_host/store_client.cpp
@@ -1,5 +1,7 @@
 #include "relay_host/store_client.h"
 
+#include "http/content_coding.h"
+
 #include <utility>
 #include <vector>
 
@@ -9,6 +11,15 @@
 /// Interval of the check for calls past their deadline.
 constexpr timeval timeoutCheckInterval{0, 250'000};
 
+/// Limit on the size of a decompressed answer of another host, in bytes.
+constexpr std::size_t maxAnswerBytes = std::size_t{64} << 20U;
+
+bool isCompressed(const http::raw_response &response)
+{
+    const std::string *coding = http::findField(response.content.headers, "Content-Encoding");
+    return coding != nullptr && *coding == http::deflateCoding;
+}
+
 std::chrono::milliseconds longPollTime(const store_call &call)
 {
     const auto *watch = std::get_if<watch_call>(&call.how);
@@ -34,12 +45,13 @@
 void store_client::carryOut(const call_store &action)
 {
     const std::uint64_t number = ++m_lastCallNumber;
-    const bool isPeerCall = action.call.source.has_value();
+    store_call call = action.call;
+    const bool isPeerCall = call.source.has_value();
+    call.acceptsCompression = isPeerCall;
     const auto timeout = isPeerCall ? m_settings.peerTimeout : m_settings.answerTimeout;
-    m_pending.emplace(
-        number, pending_call{action.call, m_time.now() + longPollTime(action.call) + timeout});
-    http::call request =
-        m_codec.formatStoreCall(action.call, action.call.source.value_or(m_settings.address));
+    m_pending.emplace(number,
+                      pending_call{action.call, m_time.now() + longPollTime(call) + timeout});
+    http::call request = m_codec.formatStoreCall(call, call.source.value_or(m_settings.address));
     request.id = {number};
     m_metrics.count(isPeerCall ? "relay_peer_calls_total" : "relay_store_calls_total");
     m_connections.send(std::move(request));
@@ -52,9 +64,26 @@
         return;
     const store_call call = found->second.call;
     m_pending.erase(found);
+    if (const auto *response = std::get_if<http::raw_response>(&outcome);
+        response != nullptr && isCompressed(*response)) {
+        m_onEvent(store_call_ended{call, readCompressed(call, *response)});
+        return;
+    }
     m_onEvent(store_call_ended{call, m_codec.readStoreOutcome(call, outcome)});
 }
 
+std::variant<store_answer, store_failure>
+store_client::readCompressed(const store_call &call, http::raw_response response) const
+{
+    auto body = http::inflated(response.content.body, maxAnswerBytes);
+    if (!body.ok()) {
+        m_metrics.count("relay_peer_answers_damaged_total");
+        return store_failure::Malformed;
+    }
+    response.content.body = *std::move(body);
+    return m_codec.readStoreOutcome(call, std::move(response));
+}
+
 void store_client::onTimer(int /*socket*/, short /*events*/, void *self)
 {
     static_cast<store_client *>(self)->cancelOverdueCalls();
--- a/src/relay_host/store_client.h
+++ b/src/relay_host/store_client.h
@@ -48,6 +48,8 @@
 
     static void onTimer(int socket, short events, void *self);
     void report(attempt_id number, const http::client_pool::outcome &outcome);
+    std::variant<store_answer, store_failure> readCompressed(const store_call &call,
+                                                             http::raw_response response) const;
     void cancelOverdueCalls();
 
     const clock &m_time;
--- a/tests/relay/peer_store_server_test.cpp
+++ b/tests/relay/peer_store_server_test.cpp
@@ -17,6 +17,8 @@
 {
     CPPUNIT_TEST_SUITE(peer_store_server_test);
     CPPUNIT_TEST(hostsWaitingForTheSameRevisionShareOneAnswer);
+    CPPUNIT_TEST(onlyTheNewestStateOfEachServerIsSent);
+    CPPUNIT_TEST(answersAreCompressedForHostsThatAcceptIt);
     CPPUNIT_TEST(connectedHostsAreAnsweredOnce);
     CPPUNIT_TEST(refusesAllWaitingHostsWhenTheStoreFails);
     CPPUNIT_TEST_SUITE_END();
@@ -46,6 +48,39 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, content.revision);
     }
 
+    /// Guards against answers that fill the link of a small host when hundreds of servers change
+    /// several times within seconds, as while an index is divided into other shards.
+    void onlyTheNewestStateOfEachServerIsSent()
+    {
+        m_server.onStoreAnswer(store_object_kind::Servers, update(false, {"c", "d", "c"}), 5, m_now,
+                               m_effects);
+        sendWatch(1, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_effects.size());
+        const auto &answer = std::get<answer_peer>(m_effects.front());
+        const auto &content = std::get<store_answer>(answer.answer);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, content.objects.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("d"), content.objects[0].name);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), content.objects[1].name);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, content.objects[1].revision);
+    }
+
+    /// Guards against compressed answers to hosts of an older version, which cannot read them.
+    void answersAreCompressedForHostsThatAcceptIt()
+    {
+        sendWatch(1, 2);
+        store_call call{store_object_kind::Servers, 2, watch_call{2, 1500ms}, {}};
+        call.acceptsCompression = true;
+        m_server.onPeerStoreRequest({{2}, call}, m_now, m_effects);
+        m_server.onStoreAnswer(store_object_kind::Servers, update(false, {"c"}), 3, m_now,
+                               m_effects);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_effects.size());
+        for (const relay_effect &each : m_effects) {
+            const auto &answer = std::get<answer_peer>(each);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer.ids.size());
+            CPPUNIT_ASSERT_EQUAL(answer.ids.front() == request_id{2}, answer.compressed);
+        }
+    }
+
     /// Guards against a second answer to a host and against an answer to a disconnected host.
     void connectedHostsAreAnsweredOnce()
     {
