Log busy passes of the event loop, late writes and read delays

New log lines "event loop was busy" and "request to a backend server was written late", field read_delay_ms, metric relay_write_delay_seconds. No decision uses them yet.

--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -107,8 +107,12 @@
     target.opened = m_time.now();
     if (m_onConnect)
         m_onConnect(target.peer);
-    if (target.current.has_value())
-        target.transport->write(target.current->bytes);
+    if (!target.current.has_value())
+        return;
+    target.transport->write(target.current->bytes);
+    // The connection was opened for this call.
+    if (m_onWritten)
+        m_onWritten(*target.current, target.opened - target.openedFrom);
 }
 
 void client_pool::onBytes(connection &target, std::string_view bytes)
--- a/src/http/client_pool.h
+++ b/src/http/client_pool.h
@@ -85,12 +85,17 @@
     using callback = std::function<void(attempt_id, outcome)>;
     /// Called for each connection that was opened to a peer.
     using connect_observer = std::function<void(const endpoint &)>;
+    /// Called when a call is written on a connection that had to be opened for it, with the time
+    /// since `send`.
+    using write_observer = std::function<void(const call &, duration)>;
 
     /// `time` must outlive the pool. `onConnect` may be empty.
     client_pool(event_base *base, const clock &time, client_pool_settings settings, callback onDone,
                 connect_observer onConnect);
     ~client_pool();
 
+    /// Sets an observer of writes; none at first.
+    void observeWrites(write_observer onWritten) { m_onWritten = std::move(onWritten); }
     /// Sends a request on the connection that was used last, or on a new one.
     void send(call request);
     /// Ends a call by closing its connection. Its callback is not called.
@@ -126,6 +131,7 @@
     client_pool_settings m_settings;
     callback m_onDone;
     connect_observer m_onConnect;
+    write_observer m_onWritten;
     std::map<endpoint, connection_list> m_peers;
     absl::flat_hash_map<std::uint64_t, connection *> m_calls;
     /// Closed connections, destroyed outside of their own callbacks.
--- a/src/relay/pending_request.h
+++ b/src/relay/pending_request.h
@@ -62,6 +62,8 @@
     std::uint64_t fingerprint = 0;
     /// When the event loop read the request.
     time_point arrived;
+    /// Time for which the request may have waited before it was read.
+    duration readDelay{};
     /// When it is answered at the latest.
     time_point deadline;
     /// From this time on, a fan-out is answered without its missing parts if the answered ones are
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -155,6 +155,7 @@
     pending->statistics = statistics;
     pending->fingerprint = fingerprintOf(target, *received.request);
     pending->arrived = m_now;
+    pending->readDelay = received.delay;
 
     const auto timeLeft = received.request->timeLeft.value_or(target.callerTimeout);
     const auto timeSinceFirstTry = statistics->timeSinceFirstTry(timeLeft);
--- a/src/relay/request_completion.cpp
+++ b/src/relay/request_completion.cpp
@@ -188,6 +188,8 @@
                    {"parts", fmt::format("{}/{}", m_request.answeredParts, m_request.parts.size())},
                    {"took_ms", milliseconds(m_context.now - m_request.arrived)},
                    {"time_left_ms", milliseconds(m_request.deadline - m_context.now)}};
+    if (m_request.readDelay > duration(0))
+        line.fields.emplace_back("read_delay_ms", milliseconds(m_request.readDelay));
     if (m_request.extraAttempts > 0)
         line.fields.emplace_back("extra_requests", std::to_string(m_request.extraAttempts));
     if (!m_request.incidents.empty())
--- a/src/relay_host/leaf_client.cpp
+++ b/src/relay_host/leaf_client.cpp
@@ -34,6 +34,11 @@
           [&metrics](const endpoint & /*peer*/) { metrics.count("relay_leaf_connections_total"); })
 { }
 
+void leaf_client::observeWrites(http::client_pool::write_observer onWritten)
+{
+    m_connections.observeWrites(std::move(onWritten));
+}
+
 void leaf_client::carryOut(const send_to_leaf &action)
 {
     m_connections.send(m_codec.formatLeafCall(action));
--- a/src/relay_host/leaf_client.h
+++ b/src/relay_host/leaf_client.h
@@ -16,6 +16,9 @@
     leaf_client(event_base *base, const clock &time, const http::client_pool_settings &settings,
                 const wire_codec &codec, metrics_registry &metrics, relay_event_sink onEvent);
 
+    /// Sets an observer of requests for which a connection had to be opened; none at first.
+    void observeWrites(http::client_pool::write_observer onWritten);
+
     /// Posts `leaf_answered` or `leaf_failed` when the attempt ends.
     void carryOut(const send_to_leaf &action);
     /// Cancels the attempt by closing its connection.
--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -1,6 +1,7 @@
 #include "relay_host/relay_process.h"
 
 #include "http/content_coding.h"
+#include "loop/run_loop.h"
 #include "settings/settings_file.h"
 
 #include <event2/event.h>
@@ -20,6 +21,8 @@
 constexpr timeval exitDelay{0, 50'000};
 /// Size from which answers to other hosts are compressed, in bytes. Smaller ones fit in a packet.
 constexpr std::size_t minCompressedBytes = 1024;
+/// Time between the decision to send a request to a server and its write from which it is logged.
+constexpr std::chrono::milliseconds minLoggedWriteDelay{100};
 /// Interval at which buffered log lines are written.
 constexpr timeval flushInterval{0, 500'000};
 
@@ -78,9 +81,12 @@
     const relay_event_sink sink = [this](relay_event_body body) { m_loop->post(std::move(body)); };
     m_leafClient = std::make_unique<leaf_client>(m_base, m_time, http::client_pool_settings{},
                                                  m_codec, m_metrics, sink);
+    m_leafClient->observeWrites(
+        [this](const http::call &request, duration delay) { onRequestWritten(request, delay); });
     store_client_settings store;
     store.address = m_settings.store;
-    m_storeClient = std::make_unique<store_client>(m_base, m_time, store, m_codec, m_metrics, sink);
+    m_storeClient =
+        std::make_unique<store_client>(m_base, m_time, store, m_codec, m_metrics, m_profile, sink);
 }
 
 relay_process::~relay_process()
@@ -185,6 +191,7 @@
 
 void relay_process::answerPeers(const answer_peer &action)
 {
+    const time_point start = m_time.now();
     http::response content = m_codec.formatStoreOutcome(action.answer);
     if (action.compressed && content.body.size() >= minCompressedBytes) {
         content.body = http::deflated(content.body);
@@ -192,6 +199,28 @@
     }
     for (const request_id id : action.ids)
         m_peerServer->respond(id, content);
+    m_profile.add("answer hosts", m_time.now() - start);
+}
+
+void relay_process::onRequestWritten(const http::call &request, duration delay)
+{
+    const std::chrono::duration<double> seconds = delay;
+    m_metrics.sample("relay_write_delay_seconds", seconds.count());
+    if (delay < minLoggedWriteDelay)
+        return;
+    m_log.write(
+        {log_level::Warning,
+         "request to a backend server was written late",
+         {{"request", request.echoValue},
+          {"address", request.peer.toString()},
+          {"delay_ms",
+           std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(delay).count())}}});
+}
+
+void relay_process::onPassEnd()
+{
+    if (auto line = m_profile.finish(m_time.lastPassTime(), m_loop->handledEvents()))
+        m_log.write(*std::move(line));
 }
 
 void relay_process::run(std::uint64_t randomSeed)
@@ -203,7 +232,7 @@
                   {"store", m_settings.store.toString()},
                   {"incarnation", std::to_string(m_incarnation)}}});
     m_loop->post(started{localMember(), m_settings.seeds, randomSeed, {}});
-    event_base_dispatch(m_base);
+    runLoop(m_base, m_time, [this] { onPassEnd(); });
     m_log.write({log_level::Info,
                  "relay host stopped",
                  {{"events", std::to_string(m_loop->handledEvents())},
--- a/src/relay_host/relay_process.h
+++ b/src/relay_host/relay_process.h
@@ -2,8 +2,10 @@
 
 #include "entry/gossip_socket.h"
 #include "http/server.h"
+#include "loop/loop_clock.h"
 #include "relay_host/caller_server.h"
 #include "relay_host/leaf_client.h"
+#include "relay_host/pass_profile.h"
 #include "relay_host/relay_host_settings.h"
 #include "relay_host/relay_loop.h"
 #include "relay_host/store_client.h"
@@ -45,6 +47,8 @@
     void reload();
     void answerPeers(const answer_peer &action);
     void onPeerRequest(request_id id, const http::raw_request &message);
+    void onRequestWritten(const http::call &request, duration delay);
+    void onPassEnd();
     void scheduleExit();
     static void onFlush(int socket, short events, void *self);
     static void onHangup(int signal, short events, void *self);
@@ -52,11 +56,12 @@
     relay_host_settings m_settings;
     std::string m_settingsFile;
     const wire_codec &m_codec;
-    const clock &m_time;
+    loop_clock m_time;
     /// Wall-clock time of the start in milliseconds, so that each restart has a higher incarnation.
     std::uint64_t m_incarnation;
     bounded_logger m_log;
     metrics_registry m_metrics;
+    pass_profile m_profile;
     event_base *m_base;
     http::event_ptr m_flushTimer;
     http::event_ptr m_hangup;
--- a/src/relay_host/store_client.cpp
+++ b/src/relay_host/store_client.cpp
@@ -30,8 +30,9 @@
 
 store_client::store_client(event_base *base, const clock &time,
                            const store_client_settings &settings, const wire_codec &codec,
-                           metrics_registry &metrics, relay_event_sink onEvent)
-    : m_time(time), m_settings(settings), m_codec(codec), m_metrics(metrics),
+                           metrics_registry &metrics, pass_profile &profile,
+                           relay_event_sink onEvent)
+    : m_time(time), m_settings(settings), m_codec(codec), m_metrics(metrics), m_profile(profile),
       m_onEvent(std::move(onEvent)), m_timer(event_new(base, -1, EV_PERSIST, &onTimer, this)),
       m_connections(base, time, settings.connections,
                     [this](attempt_id number, const http::client_pool::outcome &outcome) {
@@ -64,12 +65,18 @@
         return;
     const store_call call = found->second.call;
     m_pending.erase(found);
-    if (const auto *response = std::get_if<http::raw_response>(&outcome);
-        response != nullptr && isCompressed(*response)) {
-        m_onEvent(store_call_ended{call, readCompressed(call, *response)});
-        return;
-    }
-    m_onEvent(store_call_ended{call, m_codec.readStoreOutcome(call, outcome)});
+    const time_point start = m_time.now();
+    store_call_ended ended{call, read(call, outcome)};
+    m_profile.add("decode store answer", m_time.now() - start);
+    m_onEvent(std::move(ended));
+}
+
+std::variant<store_answer, store_failure>
+store_client::read(const store_call &call, const http::client_pool::outcome &outcome) const
+{
+    const auto *response = std::get_if<http::raw_response>(&outcome);
+    return response != nullptr && isCompressed(*response) ? readCompressed(call, *response)
+                                                          : m_codec.readStoreOutcome(call, outcome);
 }
 
 std::variant<store_answer, store_failure>
--- a/src/relay_host/store_client.h
+++ b/src/relay_host/store_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/client_pool.h"
+#include "relay_host/pass_profile.h"
 #include "relay_host/relay_loop.h"
 #include "relay_host/wire_codec.h"
 #include "telemetry/metrics_registry.h"
@@ -32,9 +33,10 @@
 class store_client
 {
 public:
-    /// `base`, `time`, `codec` and `metrics` must outlive the client.
+    /// `base`, `time`, `codec`, `metrics` and `profile` must outlive the client.
     store_client(event_base *base, const clock &time, const store_client_settings &settings,
-                 const wire_codec &codec, metrics_registry &metrics, relay_event_sink onEvent);
+                 const wire_codec &codec, metrics_registry &metrics, pass_profile &profile,
+                 relay_event_sink onEvent);
 
     /// Posts `store_call_ended` when the call ends or times out.
     void carryOut(const call_store &action);
@@ -48,6 +50,8 @@
 
     static void onTimer(int socket, short events, void *self);
     void report(attempt_id number, const http::client_pool::outcome &outcome);
+    std::variant<store_answer, store_failure> read(const store_call &call,
+                                                   const http::client_pool::outcome &outcome) const;
     std::variant<store_answer, store_failure> readCompressed(const store_call &call,
                                                              http::raw_response response) const;
     void cancelOverdueCalls();
@@ -56,6 +60,7 @@
     store_client_settings m_settings;
     const wire_codec &m_codec;
     metrics_registry &m_metrics;
+    pass_profile &m_profile;
     relay_event_sink m_onEvent;
     std::uint64_t m_lastCallNumber = 0;
     std::map<std::uint64_t, pending_call> m_pending;
