--- a/tests/http/raw_server_test.cpp
+++ b/tests/http/raw_server_test.cpp
@@ -1,6 +1,8 @@
 #include "http/raw_server.h"
 
 #include "http/loop_fixture.h"
+#include "loop/loop_clock.h"
+#include "support/manual_clock.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -24,6 +26,7 @@
     CPPUNIT_TEST(sendsContinueBeforeTheBody);
     CPPUNIT_TEST(knowsHowLateItReads);
     CPPUNIT_TEST(knowsHowLateItAccepts);
+    CPPUNIT_TEST(countsAHoldUpThatIsShorterThanASweep);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -219,16 +222,21 @@
         CPPUNIT_ASSERT(m_delays[2] == duration(0));
     }
 
-private:
-    /// Clock that a test moves.
-    class still_clock final : public clock
+    /// Guards against requests that get their whole time again after they waited for a busy loop.
+    void countsAHoldUpThatIsShorterThanASweep()
     {
-    public:
-        time_point now() const override { return at; }
-        wall_time wallNow() const override { return {}; }
-        time_point at{std::chrono::hours(1)};
-    };
+        start(m_passes);
+        raw_connection peer(m_server->localEndpoint());
+        runPasses([this] { return m_server->connections() == 1; });
+        m_passes.beginPass();
+        m_passes.now();
+        peer.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        m_stillTime.at += std::chrono::milliseconds(240);
+        runPasses([this] { return m_requests.size() == 1; });
+        CPPUNIT_ASSERT(m_delays[0] == std::chrono::milliseconds(240));
+    }
 
+private:
     void start() { start(m_time); }
     void start(const clock &time)
     {
@@ -245,6 +253,14 @@
         CPPUNIT_ASSERT(created.ok());
         m_server = *std::move(created);
     }
+    /// Runs passes of the loop as `runLoop` does until `done` holds.
+    void runPasses(const std::function<bool()> &done)
+    {
+        m_loop.runUntil([this, &done] {
+            m_passes.beginPass();
+            return done();
+        });
+    }
     /// Sweeps come each 250 ms of real time.
     void waitForSweep()
     {
@@ -265,7 +281,8 @@
 
     test_loop m_loop;
     system_clock m_time;
-    still_clock m_stillTime;
+    manual_clock m_stillTime;
+    loop_clock m_passes{m_stillTime};
     raw_server_settings m_settings;
     bool m_answerAtOnce = false;
     std::unique_ptr<raw_server> m_server;
