State the time that is left when a request to a server is written

Cause: the time left was formatted when a request was decided.

Change: a call of client_pool may have a deadline; the field is added when the call is written, and one whose deadline has passed is not written. It ends with DeadlinePassed, which says nothing about the server and is told apart from a failed connection in the trail and in a counter.

--- a/src/http/client_core.cpp
+++ b/src/http/client_core.cpp
@@ -32,6 +32,7 @@
 {
     switch (reason) {
     case call_failure::ConnectFailed:
+    case call_failure::DeadlinePassed:
         return {transport_error::ConnectFailed, "cannot connect to " + peer.toString()};
     case call_failure::NotAccepted:
     case call_failure::ConnectionLost:
--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -29,6 +29,8 @@
     message_parser parser;
     /// The call in progress.
     std::optional<call> current;
+    /// Whether the call in progress was written.
+    bool written = false;
     /// Whether it may serve a further call after the current one.
     bool reusable = true;
     /// When its opening began, and when it was opened.
@@ -36,7 +38,7 @@
     time_point opened;
     /// Whether a response came on it.
     bool proven = false;
-    /// When its opening is given up while it is not connected; when it is closed while idle.
+    /// When its opening is given up while the call is not written; when it is closed while idle.
     time_point expires;
     std::unique_ptr<stream> transport;
 };
@@ -98,8 +100,30 @@
     m_calls[request.id.value] = &target;
     target.parser.restart(request.isHead);
     target.current = std::move(request);
+    target.written = false;
+    if (target.current->deadline.has_value() && !target.transport->isConnected())
+        target.expires = std::min(target.expires, target.current->deadline->at);
     if (target.transport->isConnected())
-        target.transport->write(target.current->bytes);
+        writeCall(target);
+}
+
+void client_pool::writeCall(connection &target)
+{
+    call &request = *target.current;
+    if (!request.deadline.has_value()) {
+        target.transport->write(request.bytes);
+    } else {
+        const duration left = request.deadline->at - m_time.now();
+        // The next sweep reports the call, since this may be called from within `send`.
+        if (left <= duration(0)) {
+            target.expires = request.deadline->at;
+            return;
+        }
+        const auto stated = std::chrono::duration_cast<std::chrono::milliseconds>(left);
+        target.transport->write(withField(std::move(request.bytes), request.deadline->field,
+                                          std::to_string(stated.count())));
+    }
+    target.written = true;
 }
 
 void client_pool::onConnected(connection &target)
@@ -109,9 +133,9 @@
         m_onConnect(target.peer);
     if (!target.current.has_value())
         return;
-    target.transport->write(target.current->bytes);
+    writeCall(target);
     // The connection was opened for this call.
-    if (m_onWritten)
+    if (m_onWritten && target.written)
         m_onWritten(*target.current, target.opened - target.openedFrom);
 }
 
@@ -235,7 +259,7 @@
 bool client_pool::isSent(attempt_id id) const
 {
     const auto found = m_calls.find(id.value);
-    return found != m_calls.end() && found->second->transport->isConnected();
+    return found != m_calls.end() && found->second->written;
 }
 
 void client_pool::forget(const endpoint &peer)
@@ -282,6 +306,13 @@
     static_cast<client_pool *>(self)->sweep();
 }
 
+call_failure client_pool::failureToWrite(const connection &target, time_point now)
+{
+    const auto &deadline = target.current->deadline;
+    return deadline.has_value() && now >= deadline->at ? call_failure::DeadlinePassed
+                                                       : call_failure::ConnectFailed;
+}
+
 void client_pool::sweep()
 {
     m_closed.clear();
@@ -289,16 +320,19 @@
     std::vector<connection *> expired;
     for (const auto &[peer, all] : m_peers) {
         for (const auto &each : all) {
-            const bool waits = !each->transport->isConnected() || !each->current.has_value();
+            const bool waits = !each->written || !each->current.has_value();
             if (waits && now >= each->expires)
                 expired.push_back(each.get());
         }
     }
     for (connection *each : expired) {
-        if (each->current.has_value())
-            finish(*each, call_failure::ConnectFailed, false);
-        else
+        if (!each->current.has_value()) {
             close(*each);
+            continue;
+        }
+        const call_failure reason = failureToWrite(*each, now);
+        each->expires = now + m_settings.idleTimeout;
+        finish(*each, reason, each->transport->isConnected());
     }
 }
 
--- a/src/http/client_pool.h
+++ b/src/http/client_pool.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -23,6 +24,8 @@
 enum class call_failure {
     /// The connection could not be opened in time; the peer received nothing.
     ConnectFailed,
+    /// The deadline of the call passed before it was written; the peer received nothing.
+    DeadlinePassed,
     /// A new connection was reset sooner than the peer can have worked on the request, as by a peer
     /// that has no room for further connections. It may have received the request all the same.
     NotAccepted,
@@ -53,6 +56,17 @@
     bool operator==(const client_pool_settings &) const = default;
 };
 
+/// Deadline of a call that the peer is told.
+struct call_deadline
+{
+    /// The call is not written at this time or later.
+    time_point at{};
+    /// Header field that gets the time left when the call is written, in milliseconds.
+    std::string field;
+
+    bool operator==(const call_deadline &) const = default;
+};
+
 /// One request to be sent.
 struct call
 {
@@ -69,6 +83,8 @@
     std::string echoField;
     /// Value of the field.
     std::string echoValue;
+    /// Empty for a call that is not limited.
+    std::optional<call_deadline> deadline{};
 
     bool operator==(const call &) const = default;
 };
@@ -100,7 +116,7 @@
     void send(call request);
     /// Ends a call by closing its connection. Its callback is not called.
     void cancel(attempt_id id);
-    /// Whether the connection of the call was opened, so that the peer may have its request.
+    /// Whether the call was written, so that the peer may have its request.
     bool isSent(attempt_id id) const;
     /// Closes the idle connections to a peer, and the others after their calls.
     void forget(const endpoint &peer);
@@ -116,12 +132,14 @@
     connection &open(const endpoint &peer);
     void begin(connection &target, call request);
     void onConnected(connection &target);
+    void writeCall(connection &target);
     void onBytes(connection &target, std::string_view bytes);
     void onEnd(connection &target, stream_end reason);
     bool belongsToEarlierCall(const connection &target, const raw_response &response) const;
     void complete(connection &target, std::string_view rest);
     void finish(connection &target, outcome result, bool reusable);
     call_failure lossOf(const connection &target) const;
+    static call_failure failureToWrite(const connection &target, time_point now);
     void close(connection &target);
     void sweep();
     std::chrono::milliseconds idleTimeOf(const raw_response &response) const;
--- a/src/http/raw_message.cpp
+++ b/src/http/raw_message.cpp
@@ -103,6 +103,15 @@
     return text;
 }
 
+std::string withField(std::string bytes, std::string_view name, std::string_view value)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    // The first empty line ends the header.
+    const std::size_t position = bytes.find("\r\n\r\n") + lineEnd.size();
+    bytes.insert(position, fmt::format("{}: {}\r\n", name, value));
+    return bytes;
+}
+
 std::string formatResponse(const response &message, bool keepAlive, bool headRequest)
 {
     constexpr int noContent = 204;
--- a/src/http/raw_message.h
+++ b/src/http/raw_message.h
@@ -43,6 +43,9 @@
 /// body or the method usually has one.
 std::string formatRequest(const raw_request &message);
 
+/// Adds a header field to the bytes of a request or response.
+std::string withField(std::string bytes, std::string_view name, std::string_view value);
+
 /// Bytes of a response with `Content-Length`, and `Connection: close` unless `keepAlive`. The body
 /// is left out in the answer to a `HEAD` request.
 std::string formatResponse(const response &message, bool keepAlive, bool headRequest);
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -282,6 +282,10 @@
     case leaf_failure::NotSent:
         server.onNoResponse(failed.attempt, m_now);
         break;
+    case leaf_failure::DeadlinePassed:
+        server.onCancel(failed.attempt);
+        m_effects.emplace_back(count_metric{"relay_requests_not_written_in_time_total", 1});
+        break;
     case leaf_failure::NotAccepted:
         server.onNotAccepted(failed.attempt, m_now);
         m_effects.emplace_back(count_metric{"relay_connections_not_accepted_total", 1});
--- a/src/relay/relay_effect.h
+++ b/src/relay/relay_effect.h
@@ -27,8 +27,9 @@
     server_id server;
     endpoint address;
     std::shared_ptr<const relay_request> request;
-    /// Time until the deadline of the request.
-    std::chrono::milliseconds timeLeft{0};
+    /// When the request is answered at the latest. The server is told the time that is left when
+    /// the request is written.
+    time_point deadline{};
 
     bool operator==(const send_to_leaf &) const = default;
 };
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -72,6 +72,8 @@
 enum class leaf_failure {
     /// No connection was opened; the server received nothing.
     NotSent,
+    /// The deadline passed before the request was written; the server received nothing.
+    DeadlinePassed,
     /// A new connection was reset at once, as by a server that has reached its connection limit.
     /// The request may still have run.
     NotAccepted,
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -13,6 +13,8 @@
     switch (reason) {
     case leaf_failure::NotSent:
         return "connect failed";
+    case leaf_failure::DeadlinePassed:
+        return "deadline passed before it was sent";
     case leaf_failure::NotAccepted:
         return "connection not accepted";
     case leaf_failure::ConnectionLost:
@@ -34,12 +36,6 @@
     : m_context(context), m_state(context.state), m_request(request), m_completion(context, request)
 { }
 
-std::chrono::milliseconds request_progress::timeLeft() const
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_request.deadline
-                                                                 - m_context.now);
-}
-
 bool request_progress::isIdempotent() const
 {
     return m_request.target->semantics == execution_semantics::Idempotent;
@@ -132,7 +128,8 @@
                              relay_attempt{m_request.id, index, choice.server, m_context.now,
                                            m_request.statistics, m_request.fingerprint});
     const registered_server &entry = choice.server->entry();
-    m_context.emit(send_to_leaf{id, entry.id, entry.address, m_request.request, timeLeft()});
+    m_context.emit(
+        send_to_leaf{id, entry.id, entry.address, m_request.request, m_request.deadline});
 }
 
 duration request_progress::hedgeDelay(const leaf_choice &choice) const
@@ -336,7 +333,7 @@
     relay_part &part = m_request.parts[index];
     if (part.step == step_kind::Answered || part.step == step_kind::Failed)
         return;
-    if (reason == leaf_failure::NotSent) {
+    if (reason == leaf_failure::NotSent || reason == leaf_failure::DeadlinePassed) {
         --part.runs;
         retry(index, false, failureText(reason));
     } else if (!isIdempotent()) {
--- a/src/relay/request_progress.h
+++ b/src/relay/request_progress.h
@@ -70,7 +70,6 @@
     bool isSuspectedOfCrashes() const;
     bool hasAttempts() const;
     duration hedgeDelay(const leaf_choice &choice) const;
-    std::chrono::milliseconds timeLeft() const;
 
     /// Whether too many parts are queued for the service for another one to be served in time.
     bool isOverloaded(const service_id &service) const;
--- a/src/relay_host/leaf_client.cpp
+++ b/src/relay_host/leaf_client.cpp
@@ -10,6 +10,8 @@
     switch (reason) {
     case http::call_failure::ConnectFailed:
         return leaf_failure::NotSent;
+    case http::call_failure::DeadlinePassed:
+        return leaf_failure::DeadlinePassed;
     case http::call_failure::NotAccepted:
         return leaf_failure::NotAccepted;
     case http::call_failure::ConnectionLost:
