Count the whole time that a request may have waited to be read

Cause: delays were known from a timer of 250 ms, so that a hold-up of up to 300 ms counted as none and a longer one 250 ms too little. A request that waited for the answer ahead of it on its connection, or whose end waited, was also counted as new.

Change: raw_server takes the delay from loop_clock, which knows when the last pass of the loop began: bytes that are read now were not there before it. A connection is read as soon as it is accepted. hold_up_watch is gone.

--- a/src/http/raw_server.cpp
+++ b/src/http/raw_server.cpp
@@ -14,6 +14,8 @@
 namespace waxwing::http {
 namespace {
 
+/// Interval at which connections that are past their limits are looked for.
+constexpr timeval sweepInterval{0, 250'000};
 /// Bytes of early requests that are kept while another one is handled.
 constexpr std::size_t earlyBytes = std::size_t{512} * 1024;
 
@@ -67,18 +69,15 @@
     message_parser parser;
     /// Bytes that came after the current request.
     std::string early;
+    /// When the first of them may have arrived.
+    time_point earlyArrival;
     /// Whether `consume` is at work and takes `early` itself.
     bool consuming = false;
     request_id request;
     /// Requests that arrived whole.
     std::uint64_t requests = 0;
-    /// When it was accepted.
-    time_point acceptedAt;
-    /// When the first request may have arrived, if the connection was accepted after a hold-up of
-    /// the loop. It is read in a later pass of the loop.
-    std::optional<time_point> openedAt;
-    /// How long ago the current request may have arrived when it was read.
-    duration readDelay{};
+    /// When the first byte of the current request may have arrived.
+    time_point arrival;
     bool keepAlive = true;
     bool isHead = false;
     bool continueSent = false;
@@ -108,15 +107,13 @@
     }
     result->m_local = boundEndpoint(result->m_listener);
     result->m_sweepTimer.reset(event_new(base, -1, EV_PERSIST, &onSweep, result.get()));
-    const timeval interval{0, std::chrono::microseconds(hold_up_watch::beatInterval).count()};
-    event_add(result->m_sweepTimer.get(), &interval);
+    event_add(result->m_sweepTimer.get(), &sweepInterval);
     return result;
 }
 
 raw_server::raw_server(event_base *base, const clock &time, const raw_server_settings &settings,
                        callbacks handlers)
-    : m_base(base), m_time(time), m_settings(settings), m_handlers(std::move(handlers)),
-      m_holdUps(time.now())
+    : m_base(base), m_time(time), m_settings(settings), m_handlers(std::move(handlers))
 { }
 
 raw_server::~raw_server()
@@ -144,35 +141,38 @@
     const std::uint64_t number = ++m_lastConnection;
     auto peer = std::make_unique<connection>(number, m_settings.messages, m_time.now());
     connection *reader = peer.get();
-    peer->acceptedAt = peer->lastByte;
-    const duration late = m_holdUps.delay(peer->acceptedAt);
-    if (late > duration(0))
-        peer->openedAt = peer->acceptedAt - late;
     peer->transport = std::make_unique<stream>(
         m_base, socket, m_settings.connections,
         stream::callbacks{[this, reader](std::string_view bytes) { onBytes(*reader, bytes); },
                           [this, number](stream_end /*reason*/) { onEnd(number); },
                           {}});
     m_connections.emplace(number, std::move(peer));
+    // A later pass of the loop would not know that the first request waited together with the
+    // connection. The loop finds nothing in the socket if there was none.
+    if (m_loop != nullptr)
+        reader->transport->readNow();
 }
 
 void raw_server::onBytes(connection &peer, std::string_view bytes)
 {
     const time_point now = m_time.now();
+    const time_point arrival = m_loop == nullptr ? now : now - m_loop->longestWait(now);
     peer.lastByte = now;
     if (peer.step == connection::step_kind::Lingering)
         return;
     if (peer.step == connection::step_kind::Answering) {
+        if (peer.early.empty())
+            peer.earlyArrival = arrival;
         if (peer.early.size() + bytes.size() <= earlyBytes)
             peer.early.append(bytes);
         else
             close(peer.number);
         return;
     }
-    consume(peer, bytes);
+    consume(peer, bytes, arrival);
 }
 
-void raw_server::consume(connection &peer, std::string_view bytes)
+void raw_server::consume(connection &peer, std::string_view bytes, time_point arrival)
 {
     const std::uint64_t number = peer.number;
     std::string early;
@@ -180,12 +180,14 @@
     for (;;) {
         if (!peer.parser.hasBegun()) {
             peer.requestBegan = peer.lastByte;
-            peer.readDelay = takeReadDelay(peer);
+            peer.arrival = arrival;
             peer.parser.setLimits(m_settings.messages);
         }
         const std::size_t used = peer.parser.read(bytes);
-        if (peer.parser.isComplete())
+        if (peer.parser.isComplete()) {
             peer.early.assign(bytes.substr(used));
+            peer.earlyArrival = arrival;
+        }
         peer.consuming = true;
         advance(peer);
         if (!m_connections.contains(number))
@@ -195,6 +197,7 @@
             return;
         early = std::exchange(peer.early, {});
         bytes = early;
+        arrival = peer.earlyArrival;
     }
 }
 
@@ -256,7 +259,7 @@
     peer.parser.restart();
     peer.lastByte = m_time.now();
     if (!peer.consuming && !peer.early.empty())
-        consume(peer, std::exchange(peer.early, {}));
+        consume(peer, std::exchange(peer.early, {}), peer.earlyArrival);
 }
 
 bool raw_server::isFirstOnConnection(request_id id) const
@@ -318,25 +321,14 @@
 duration raw_server::readDelay(request_id id) const
 {
     const auto waiting = m_waiting.find(id.value);
-    return waiting == m_waiting.end() ? duration(0) : m_connections.at(waiting->second)->readDelay;
-}
-
-duration raw_server::takeReadDelay(connection &peer) const
-{
-    const time_point now = peer.lastByte;
-    const duration late = m_holdUps.delay(now);
-    const auto openedAt = std::exchange(peer.openedAt, std::nullopt);
-    // A first request that comes later than the next passes was not there when it was accepted.
-    const bool waited =
-        openedAt.has_value() && now - late - peer.acceptedAt <= hold_up_watch::beatInterval;
-    return waited ? now - *openedAt : late;
+    if (m_loop == nullptr || waiting == m_waiting.end())
+        return duration(0);
+    return m_time.now() - m_connections.at(waiting->second)->arrival;
 }
 
 void raw_server::onSweep(int /*socket*/, short /*events*/, void *self)
 {
-    raw_server &server = *static_cast<raw_server *>(self);
-    server.m_holdUps.onBeat(server.m_time.now());
-    server.sweep();
+    static_cast<raw_server *>(self)->sweep();
 }
 
 bool raw_server::isOverdue(const connection &peer, time_point now) const
--- a/src/http/raw_server.h
+++ b/src/http/raw_server.h
@@ -3,9 +3,9 @@
 #include "core/clock.h"
 #include "core/endpoint.h"
 #include "core/strong_id.h"
-#include "http/hold_up_watch.h"
 #include "http/message_parser.h"
 #include "http/stream.h"
+#include "loop/loop_clock.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/statusor.h>
@@ -87,8 +87,12 @@
     /// Connections that may still carry a request. Those that have their last answer and wait for
     /// the peer to close do not count.
     std::size_t connections() const;
-    /// How long ago the unanswered request may have arrived before it was read: the time for which
-    /// the loop was held up, less the interval at which that is looked at. 0 if it was not.
+    /// Takes read delays from the clock of the loop, which must outlive the server. Without it they
+    /// are 0.
+    void measureReadDelays(const loop_clock &loop) { m_loop = &loop; }
+    /// Upper limit of the time since the unanswered request began to arrive: while the loop was
+    /// busy, while the rest of it arrived, and while an earlier request of its connection was
+    /// answered.
     duration readDelay(request_id id) const;
     /// The address that is bound, with the port that the system chose.
     endpoint localEndpoint() const { return m_local; }
@@ -102,9 +106,8 @@
                          void *self);
     static void onSweep(int socket, short events, void *self);
     void accept(int socket);
-    duration takeReadDelay(connection &peer) const;
     void onBytes(connection &peer, std::string_view bytes);
-    void consume(connection &peer, std::string_view bytes);
+    void consume(connection &peer, std::string_view bytes, time_point arrival);
     void advance(connection &peer);
     void reject(connection &peer, int status);
     void linger(connection &peer);
@@ -126,7 +129,7 @@
     evconnlistener *m_listener = nullptr;
     endpoint m_local;
     event_ptr m_sweepTimer;
-    hold_up_watch m_holdUps;
+    const loop_clock *m_loop = nullptr;
 };
 
 } // namespace waxwing::http
--- a/src/http/stream.h
+++ b/src/http/stream.h
@@ -63,6 +63,8 @@
 
     /// Sends bytes, after the connection was opened.
     void write(std::string_view bytes);
+    /// Reads what has arrived, as when the loop reports the socket as readable.
+    void readNow() { onReadable(m_socket, 0, this); }
     /// Sends the end of the stream once everything is written, and reads on.
     void finishWriting();
     /// Closes the socket without reporting an end.
--- a/src/relay_host/caller_server.cpp
+++ b/src/relay_host/caller_server.cpp
@@ -7,7 +7,7 @@
 caller_server::caller_server(const wire_codec &codec) : m_codec(codec) { }
 
 absl::StatusOr<std::unique_ptr<caller_server>>
-caller_server::create(event_base *base, const clock &time,
+caller_server::create(event_base *base, const loop_clock &time,
                       const http::raw_server_settings &settings, const wire_codec &codec,
                       metrics_registry &metrics, const relay_event_sink &onEvent)
 {
@@ -26,6 +26,7 @@
     if (!server.ok())
         return server.status();
     result->m_server = *std::move(server);
+    result->m_server->measureReadDelays(time);
     return result;
 }
 
--- a/src/relay_host/caller_server.h
+++ b/src/relay_host/caller_server.h
@@ -17,7 +17,7 @@
 public:
     /// Starts to listen. `base`, `time`, `codec` and `metrics` must outlive the server.
     static absl::StatusOr<std::unique_ptr<caller_server>>
-    create(event_base *base, const clock &time, const http::raw_server_settings &settings,
+    create(event_base *base, const loop_clock &time, const http::raw_server_settings &settings,
            const wire_codec &codec, metrics_registry &metrics, const relay_event_sink &onEvent);
 
     void carryOut(const answer_request &action);
--- a/tests/http/raw_server_test.cpp
+++ b/tests/http/raw_server_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(sendsContinueBeforeTheBody);
     CPPUNIT_TEST(knowsHowLateItReads);
     CPPUNIT_TEST(knowsHowLateItAccepts);
+    CPPUNIT_TEST(countsTheWaitForAnEarlierAnswer);
+    CPPUNIT_TEST(countsTheWaitForTheRestOfARequest);
     CPPUNIT_TEST(countsAHoldUpThatIsShorterThanASweep);
     CPPUNIT_TEST_SUITE_END();
 
@@ -178,66 +180,104 @@
     }
 
     /// Guards against requests that get their whole time again after they waited in the socket
-    /// while the loop was held up.
+    /// while the loop was held up, and against later ones that lose time.
     void knowsHowLateItReads()
     {
-        start(m_stillTime);
+        start(m_passes);
         raw_connection peer(m_server->localEndpoint());
-        m_stillTime.at += std::chrono::milliseconds(600);
-        peer.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        runPasses([this] { return m_server->connections() == 1; });
+        holdUp(std::chrono::milliseconds(600), [&peer] { peer.write(get("/1")); });
         waitForRequests(1);
-        CPPUNIT_ASSERT(m_delays[0] == std::chrono::milliseconds(350));
+        CPPUNIT_ASSERT(m_delays[0] == std::chrono::milliseconds(600));
         m_server->respond(m_ids[0], {});
-        // The next sweep ends the time in which late bytes are read.
-        m_stillTime.at += std::chrono::milliseconds(100);
-        waitForSweep();
+        m_passes.beginPass();
         m_stillTime.at += std::chrono::milliseconds(200);
-        peer.write("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+        peer.write(get("/2"));
         waitForRequests(2);
         CPPUNIT_ASSERT(m_delays[1] == duration(0));
     }
 
     /// Guards against the whole time again for the first request of a connection that waited to be
-    /// accepted: it is read in a later pass of the loop, which a busy host reaches late.
+    /// accepted, and against time that a connection loses which had nothing to read then.
     void knowsHowLateItAccepts()
     {
-        start(m_stillTime);
+        start(m_passes);
         raw_connection peer(m_server->localEndpoint());
         raw_connection idle(m_server->localEndpoint());
-        m_stillTime.at += std::chrono::milliseconds(600);
-        m_loop.runUntil([this] { return m_server->connections() == 2; });
-        m_stillTime.at += std::chrono::milliseconds(180);
-        peer.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
-        waitForRequests(1);
-        CPPUNIT_ASSERT(m_delays[0] == std::chrono::milliseconds(530));
+        holdUp(std::chrono::milliseconds(600), [&peer] { peer.write(get("/1")); });
+        runPasses([this] { return m_server->connections() == 2 && m_requests.size() == 1; });
+        CPPUNIT_ASSERT(m_delays[0] == std::chrono::milliseconds(600));
         m_server->respond(m_ids[0], {});
-        waitForSweep();
+        m_passes.beginPass();
         m_stillTime.at += std::chrono::milliseconds(100);
-        peer.write("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+        peer.write(get("/2"));
         waitForRequests(2);
         CPPUNIT_ASSERT(m_delays[1] == duration(0));
-        // It had nothing to read when it was accepted.
-        idle.write("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+        idle.write(get("/3"));
         waitForRequests(3);
         CPPUNIT_ASSERT(m_delays[2] == duration(0));
     }
 
+    /// Guards against the whole time again for a request that was sent before the answer to the one
+    /// ahead of it on its connection.
+    void countsTheWaitForAnEarlierAnswer()
+    {
+        start(m_passes);
+        raw_connection peer(m_server->localEndpoint());
+        runPasses([this] { return m_server->connections() == 1; });
+        peer.write(get("/1") + get("/2"));
+        waitForRequests(1);
+        m_passes.beginPass();
+        m_stillTime.at += std::chrono::milliseconds(400);
+        m_server->respond(m_ids[0], {});
+        waitForRequests(2);
+        CPPUNIT_ASSERT(m_delays[1] == std::chrono::milliseconds(400));
+    }
+
+    /// Guards against the whole time again for a request whose last bytes waited for a busy loop.
+    void countsTheWaitForTheRestOfARequest()
+    {
+        start(m_passes);
+        raw_connection peer(m_server->localEndpoint());
+        peer.write("GET /1 HTTP/1.1\r\n");
+        runPasses([this] { return m_server->connections() == 1; });
+        waitForSweep();
+        holdUp(std::chrono::milliseconds(300), [&peer] { peer.write("Host: h\r\n\r\n"); });
+        waitForRequests(1);
+        CPPUNIT_ASSERT(m_delays[0] == std::chrono::milliseconds(300));
+    }
+
     /// Guards against requests that get their whole time again after they waited for a busy loop.
     void countsAHoldUpThatIsShorterThanASweep()
     {
         start(m_passes);
         raw_connection peer(m_server->localEndpoint());
         runPasses([this] { return m_server->connections() == 1; });
-        m_passes.beginPass();
-        m_passes.now();
-        peer.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
-        m_stillTime.at += std::chrono::milliseconds(240);
+        holdUp(std::chrono::milliseconds(240), [&peer] { peer.write(get("/1")); });
         runPasses([this] { return m_requests.size() == 1; });
         CPPUNIT_ASSERT(m_delays[0] == std::chrono::milliseconds(240));
     }
 
 private:
+    static std::string get(const std::string &path)
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
     void start() { start(m_time); }
+    /// As `start`, with read delays from the passes of the loop.
+    void start(const loop_clock &time)
+    {
+        start(static_cast<const clock &>(time));
+        m_server->measureReadDelays(time);
+    }
+    /// Lets a callback of the loop take `time`; `meanwhile` happens before it ends.
+    void holdUp(duration time, const std::function<void()> &meanwhile)
+    {
+        m_passes.beginPass();
+        m_passes.now();
+        meanwhile();
+        m_stillTime.at += time;
+    }
     void start(const clock &time)
     {
         auto created = raw_server::create(m_loop.base(), time, m_settings,
@@ -269,7 +309,7 @@
     }
     void waitForRequests(std::size_t count)
     {
-        m_loop.runUntil([this, count] { return m_requests.size() >= count; });
+        runPasses([this, count] { return m_requests.size() >= count; });
     }
     void waitFor(raw_connection &peer, const std::string &text)
     {
