Let the host with the fastest link of each zone read the store

Cause: the host that reads the store for its zone receives each document in full (0.8 MB with 4,250 routes) and answers a dozen hosts (0.5 MB and more within a second).

Pacing of the answers to other hosts: it would delay the changes, and the document itself cannot be paced.

Change: hosts tell the rate of their link in their member record; the fastest of a zone reads. Hosts of an earlier version count as unknown and come last.

--- a/src/events/event_json.cpp
+++ b/src/events/event_json.cpp
@@ -75,8 +75,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(command_answer, service, result, replayed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(leaf_command_answer, result)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(platform_result, status, version, value, detail)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member, host, zone, gossip, peer, incarnation, state,
-                                   configurationRevision)
+// Recordings of earlier versions have no rate of the link.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(member, host, zone, gossip, peer, incarnation,
+                                                state, configurationRevision, linkMbps)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(fact, kind, subject, origin, sequence, value, validFor)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(gossip_message, kind, sender, configurationDigest, probe, target,
                                    updates, facts)
--- a/src/membership/gossip_size.cpp
+++ b/src/membership/gossip_size.cpp
@@ -7,6 +7,7 @@
 constexpr std::size_t longInteger = 1 + 10;
 constexpr std::size_t smallInteger = 1 + 1;
 constexpr std::size_t portInteger = 1 + 3;
+constexpr std::size_t shortInteger = 1 + 5;
 /// Tag and length of a string or message below 16 KiB.
 constexpr std::size_t lengthPrefix = 1 + 2;
 
@@ -26,7 +27,7 @@
 {
     return lengthPrefix + stringBytes(value.host.value) + stringBytes(value.zone.value)
         + endpointBytes(value.gossip) + endpointBytes(value.peer) + longInteger + smallInteger
-        + longInteger;
+        + longInteger + shortInteger;
 }
 
 std::size_t gossipBytes(const fact &value)
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -38,6 +38,8 @@
     member_state state = member_state::Alive;
     /// Revision of the configuration that the host has applied.
     std::uint64_t configurationRevision = 0;
+    /// Rate of the host's network link, in Mbit/s; 0 if it is not known.
+    std::uint32_t linkMbps = 0;
 
     bool operator==(const member &) const = default;
 };
--- a/src/membership/member_codec.cpp
+++ b/src/membership/member_codec.cpp
@@ -38,6 +38,7 @@
     target.set_incarnation(value.incarnation);
     target.set_state(static_cast<std::uint32_t>(value.state));
     target.set_configuration_revision(value.configurationRevision);
+    target.set_link_mbps(value.linkMbps);
 }
 
 void toWire(const fact &value, wire::Fact &target)
@@ -63,7 +64,8 @@
                   *std::move(peer),
                   value.incarnation(),
                   static_cast<member_state>(value.state()),
-                  value.configuration_revision()};
+                  value.configuration_revision(),
+                  value.link_mbps()};
 }
 
 std::optional<fact> fromWire(const wire::Fact &value)
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -44,6 +44,8 @@
             <= std::pair(current.incarnation, current.state)) {
             current.configurationRevision =
                 std::max(current.configurationRevision, record.configurationRevision);
+            // Hosts of an earlier version pass records on without the rate.
+            current.linkMbps = std::max(current.linkMbps, record.linkMbps);
             return change::None;
         }
         if (current.state == member_state::Dead && record.state != member_state::Dead)
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -71,6 +71,8 @@
 {
     host_id host;
     zone_id zone;
+    /// Rate of the host's network link, in Mbit/s; 0 if it is not known.
+    std::uint32_t linkMbps = 0;
     /// Maps availability zones to their regions.
     std::map<zone_id, std::string> regions;
     request_settings requests;
--- a/src/relay/store_roles.cpp
+++ b/src/relay/store_roles.cpp
@@ -21,7 +21,9 @@
     return bothKnown && ownRegion->second == otherRegion->second ? 1 : 2;
 }
 
-/// Selects the hosts that read the store: in each zone those whose ids have the lowest hashes.
+/// Selects the hosts that read the store: in each zone those with the fastest links, since a reader
+/// receives each change in full and passes it on to all the others, and its callers' requests wait
+/// behind that. Among equal links, those whose ids have the lowest hashes.
 std::vector<const member *> selectReaders(const std::vector<member> &active, std::size_t perZone)
 {
     std::map<zone_id, std::vector<const member *>> zones;
@@ -31,8 +33,8 @@
     std::vector<const member *> readers;
     for (auto &[zone, hosts] : zones) {
         std::sort(hosts.begin(), hosts.end(), [](const member *left, const member *right) {
-            return std::pair(stableHash(left->host.value), left->host)
-                < std::pair(stableHash(right->host.value), right->host);
+            return std::tuple(right->linkMbps, stableHash(left->host.value), left->host)
+                < std::tuple(left->linkMbps, stableHash(right->host.value), right->host);
         });
         hosts.resize(std::min(hosts.size(), count));
         readers.insert(readers.end(), hosts.begin(), hosts.end());
--- a/src/relay_host/relay_host_settings.cpp
+++ b/src/relay_host/relay_host_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "settings/settings_file.h"
 
+#include <cmath>
+#include <cstdint>
 #include <map>
 #include <utility>
 
@@ -49,6 +51,9 @@
     // another service.
     for (endpoint &seed : target.seeds)
         seed.port = target.listen.gossip.port;
+    double linkMbps = 0;
+    root.read("link_mbps", linkMbps, number_range<double>{0, 1e6});
+    target.reducerSettings.linkMbps = static_cast<std::uint32_t>(std::lround(linkMbps));
     root.read("log_level", target.logLevel);
     readExtraBudget(root.section("shared"), target.reducerSettings.extras);
     readShutdownTimes(root.section("stop"), target.reducerSettings);
--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -249,7 +249,8 @@
             gossip,
             m_incarnation,
             member_state::Alive,
-            0};
+            0,
+            m_settings.reducerSettings.linkMbps};
 }
 
 void relay_process::respondToReadinessProbe(const http::request &message,
