--- a/src/entry/backend_client.cpp
+++ b/src/entry/backend_client.cpp
@@ -9,13 +9,11 @@
 /// Timeout of cancellations and health polls. No caller waits for their responses.
 constexpr std::chrono::milliseconds auxiliaryTimeout{1000};
 
-http::request timedRequest(std::string path, std::string body, std::chrono::milliseconds timeout,
-                           const trace_context &trace)
+http::request timedRequest(std::string path, std::string body, const trace_context &trace)
 {
-    http::request message{"POST", std::move(path), {}, {}, std::move(body)};
+    http::request message{"POST", std::move(path), {}, {}, std::move(body), "Request-Timeout-Ms"};
     message.headers = {
         {"Content-Type", "application/json"},
-        {"Request-Timeout-Ms", std::to_string(timeout.count())},
         {"traceparent", trace.toHeader()},
     };
     return message;
@@ -35,8 +33,7 @@
     const std::string id = requestId(action.attempt);
     const auto timeout = std::max(action.timeout, std::chrono::milliseconds(1));
     m_connections.send(
-        action.address,
-        timedRequest("/search", formatLeafSearch(id, action.search), timeout, action.trace),
+        action.address, timedRequest("/search", formatLeafSearch(id, action.search), action.trace),
         timeout, [this, id, attempt = action.attempt, search = action.search](const auto &outcome) {
             auto result = readLeafSearch(id, search, outcome);
             const auto *failure = std::get_if<leaf_failure>(&result);
@@ -52,8 +49,8 @@
     const auto timeout = std::max(action.timeout, std::chrono::milliseconds(1));
     m_connections.send(
         action.address,
-        timedRequest("/command", formatLeafCommand(id, action.command), timeout, action.trace),
-        timeout, [this, id, attempt = action.attempt](const auto &outcome) {
+        timedRequest("/command", formatLeafCommand(id, action.command), action.trace), timeout,
+        [this, id, attempt = action.attempt](const auto &outcome) {
             m_onEvent(leaf_command_finished{attempt, readLeafCommand(id, outcome)});
         });
 }
--- a/src/http/client_core.cpp
+++ b/src/http/client_core.cpp
@@ -80,7 +80,10 @@
     const timeval after{left / msPerSecond, left % msPerSecond * msPerSecond};
     event_add(call->timer.get(), &after);
     m_calls.emplace(id.value, std::move(call));
-    m_connections.send({id, peer, format(peer, message), message.method == "HEAD", {}, {}});
+    http::call request{id, peer, format(peer, message), message.method == "HEAD", {}, {}};
+    if (!message.timeoutField.empty())
+        request.deadline = call_deadline{m_time.now() + timeout, message.timeoutField};
+    m_connections.send(std::move(request));
 }
 
 void client_core::setLimit(const endpoint &peer, std::size_t limit)
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -32,6 +32,9 @@
     header_list headers;
     /// Body, not decoded.
     std::string body;
+    /// Header field that tells the peer how much of the timeout is left when the request is
+    /// written, in milliseconds; empty for none. Used only by requests that are sent.
+    std::string timeoutField{};
 
     bool operator==(const request &) const = default;
 };
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(reopensConnectionClosedWhileIdle);
     CPPUNIT_TEST(readsRefusalOfOversizedBody);
     CPPUNIT_TEST(rejectsBadResponses);
+    CPPUNIT_TEST(statesTheTimeThatIsLeftAtTheWrite);
     CPPUNIT_TEST_SUITE_END();
 
     test_loop m_loop;
@@ -77,6 +78,22 @@
         m_server.reset();
     }
 
+    /// Guards against a server that works on after its caller has left, because the connection was
+    /// opened later than the request was decided.
+    void statesTheTimeThatIsLeftAtTheWrite()
+    {
+        request message;
+        message.timeoutField = "Time-Left-Ms";
+        send(message);
+        const auto decided = std::chrono::steady_clock::now();
+        while (std::chrono::steady_clock::now() < decided + std::chrono::milliseconds(20)) { }
+        awaitRequests(1);
+        const auto stated = findHeader(m_requests[0].headers, "Time-Left-Ms");
+        CPPUNIT_ASSERT(stated.has_value());
+        const int left = std::stoi(*stated);
+        CPPUNIT_ASSERT_MESSAGE(*stated, left > 0 && left <= 4980);
+    }
+
     /// Guards against a connection for each request, which costs a backend server 1 to 5 ms.
     void keepsConnections()
     {
