Send nothing to servers that announce their departure or ask for a pause

Nothing in the tree knew either field.

A departure is final until the server restarts; a paused server is not chosen before its pause ends, not even as a trial.

--- a/src/relay/leaf.cpp
+++ b/src/relay/leaf.cpp
@@ -22,6 +22,8 @@
         m_ejectedUntil.reset();
         m_ejections = 0;
         m_consecutiveLosses = 0;
+        m_announcedLeaving = false;
+        m_pausedUntil = {};
     }
     m_entry = std::move(entry);
     m_limit.setCeiling(m_settings.requestsPerSlot * m_entry.slots);
@@ -124,6 +126,13 @@
     return m_ejectedUntil.has_value() && (now < *m_ejectedUntil || !m_outstanding.empty());
 }
 
+std::optional<time_point> leaf::usableAt(time_point now) const
+{
+    if (isLeaving())
+        return std::nullopt;
+    return std::max({now, m_pausedUntil, m_ejectedUntil.value_or(now)});
+}
+
 double leaf::slowness(time_point now) const
 {
     const double estimate = 1 + decayed(m_slownessExcess, m_slownessAt, now);
--- a/src/relay/leaf.h
+++ b/src/relay/leaf.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "relay/relay_types.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -68,9 +69,18 @@
 
     /// Latest registration of the server.
     const registered_server &entry() const { return m_entry; }
-    /// Applies a changed registration. Estimates and ejections are reset if the start time or
-    /// address of the server changed.
+    /// Applies a changed registration. Estimates, ejections, pauses and the announced departure are
+    /// reset if the start time or address of the server changed.
     void update(registered_server entry, time_point now);
+    /// Records that the server announced its departure in an answer. It is final until the server
+    /// restarts: a registration may be older than the answer.
+    void onLeaving() { m_announcedLeaving = true; }
+    /// Whether the server announced its departure, in its registration or in an answer.
+    bool isLeaving() const { return m_announcedLeaving || m_entry.leaving; }
+    /// Records that the server asked to receive no requests until `until`.
+    void onPauseRequested(time_point until) { m_pausedUntil = std::max(m_pausedUntil, until); }
+    /// Whether the server asked to receive no requests now.
+    bool isPaused(time_point now) const { return now < m_pausedUntil; }
 
     /// Records a request that was sent and is expected to be answered within `expected`.
     void onSent(attempt_id attempt, duration expected, time_point now);
@@ -100,8 +110,14 @@
     /// Whether the server receives no requests because it failed. After the ejection time it may
     /// receive one trial request at a time.
     bool isEjected(time_point now) const;
-    /// Earliest time of a trial request to an ejected server; empty if it is not ejected.
-    std::optional<time_point> trialAt() const { return m_ejectedUntil; }
+    /// Whether the server can receive a request now, unless it is at its limit.
+    bool isUsable(time_point now) const
+    {
+        return !isLeaving() && !isPaused(now) && !isEjected(now);
+    }
+    /// Earliest time at which a server that is not usable may receive a request, at least `now`;
+    /// empty if it is leaving.
+    std::optional<time_point> usableAt(time_point now) const;
     /// Whether the server replied to any request, even with an error or refusal, at `since` or
     /// later.
     bool hasAnsweredSince(time_point since) const
@@ -150,6 +166,8 @@
     time_point m_errorsAt;
     time_point m_coldUntil;
     time_point m_backoffUntil;
+    bool m_announcedLeaving = false;
+    time_point m_pausedUntil{};
     std::optional<time_point> m_lastAnswer;
     std::uint32_t m_consecutiveLosses = 0;
     std::uint32_t m_ejections = 0;
--- a/src/relay/leaf_pool.cpp
+++ b/src/relay/leaf_pool.cpp
@@ -120,7 +120,7 @@
                                                  duration processingTime, time_point now) const
 {
     const registered_server &entry = candidate->entry();
-    if (entry.leaving || candidate->isEjected(now))
+    if (!candidate->isUsable(now))
         return std::nullopt;
     const double load =
         static_cast<double>(candidate->inFlight()) / std::max<std::uint32_t>(entry.slots, 1);
@@ -184,9 +184,7 @@
     const auto known = m_services.find(service);
     return known != m_services.end()
         && std::any_of(known->second.begin(), known->second.end(),
-                       [now](const std::shared_ptr<leaf> &each) {
-                           return !each->entry().leaving && !each->isEjected(now);
-                       });
+                       [now](const std::shared_ptr<leaf> &each) { return each->isUsable(now); });
 }
 
 std::size_t leaf_pool::inFlight(const service_id &service) const
@@ -200,17 +198,16 @@
     return count;
 }
 
-std::optional<time_point> leaf_pool::nextTrial(const service_id &service, time_point now) const
+std::optional<time_point> leaf_pool::usableAt(const service_id &service, time_point now) const
 {
     std::optional<time_point> earliest;
     const auto known = m_services.find(service);
     if (known == m_services.end())
         return earliest;
     for (const std::shared_ptr<leaf> &each : known->second) {
-        if (each->entry().leaving || !each->isEjected(now))
-            continue;
-        const time_point at = std::max(now, *each->trialAt());
-        earliest = earliest.has_value() ? std::min(*earliest, at) : at;
+        const auto at = each->isUsable(now) ? std::nullopt : each->usableAt(now);
+        if (at.has_value())
+            earliest = std::min(earliest.value_or(*at), *at);
     }
     return earliest;
 }
--- a/src/relay/leaf_pool.h
+++ b/src/relay/leaf_pool.h
@@ -44,7 +44,7 @@
         Found,
         /// Every usable server has reached its limit of requests in progress.
         Full,
-        /// Every server is ejected, leaving or was tried before, or the service has none.
+        /// Every server is ejected, paused, leaving or was tried before, or the service has none.
         None,
     };
 
@@ -86,14 +86,14 @@
     /// `processingTime` is the usual processing time of the request.
     leaf_choice choose(const service_id &service, const leaf_list &tried, duration processingTime,
                        time_point now) const;
-    /// Whether the service has a server that is neither leaving nor ejected. It may be at its
-    /// limit.
+    /// Whether the service has a server that is neither leaving, paused nor ejected. It may be at
+    /// its limit.
     bool isServed(const service_id &service, time_point now) const;
     /// Number of requests from this host in progress on the servers of the service.
     std::size_t inFlight(const service_id &service) const;
-    /// Earliest time of a trial request to an ejected server of the service, at least `now`; empty
-    /// if no server is ejected.
-    std::optional<time_point> nextTrial(const service_id &service, time_point now) const;
+    /// Earliest time at which an ejected or paused server of the service may receive a request, at
+    /// least `now`; empty if there is none.
+    std::optional<time_point> usableAt(const service_id &service, time_point now) const;
     /// Ids of all servers, including unregistered ones.
     std::vector<server_id> ids() const;
     /// Number of servers, including unregistered ones.
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -227,11 +227,34 @@
     return attempt;
 }
 
+void relay_dispatch::recordAnnouncements(leaf &server, const leaf_reply &reply)
+{
+    if (reply.leaving && !server.isLeaving()) {
+        server.onLeaving();
+        m_effects.emplace_back(count_metric{"relay_servers_leaving_total", 1});
+        appendLog(m_effects, log_level::Info, "a backend server announced that it is leaving",
+                  {{"server", server.entry().id.value},
+                   {"service", server.entry().service.value},
+                   {"address", server.entry().address.toString()}});
+    }
+    if (!reply.pause.has_value())
+        return;
+    const bool isNew = !server.isPaused(m_now);
+    server.onPauseRequested(m_now + *reply.pause);
+    m_effects.emplace_back(count_metric{"relay_server_pauses_total", 1});
+    if (isNew)
+        appendLog(m_effects, log_level::Info, "a backend server asked for a pause",
+                  {{"server", server.entry().id.value},
+                   {"service", server.entry().service.value},
+                   {"pause_ms", fmt::to_string(reply.pause->count())}});
+}
+
 void relay_dispatch::recordReply(const relay_attempt &attempt, attempt_id id,
                                  const leaf_reply &reply)
 {
     relay_requests &requests = m_parts.requests;
     leaf &server = *attempt.server;
+    recordAnnouncements(server, reply);
     if (reply.otherServer) {
         server.onNoResponse(id, m_now);
         return;
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -61,6 +61,10 @@
     bool notRun = false;
     /// Whether the answer came from another server, which has taken over the address.
     bool otherServer = false;
+    /// Whether the server announced that it is about to stop.
+    bool leaving = false;
+    /// Time for which the server asked to receive no requests; empty if it did not.
+    std::optional<std::chrono::milliseconds> pause{};
 
     /// Whether the status is 2xx and the request was run.
     bool isSuccess() const { return status >= 200 && status < 300 && !notRun; }
--- a/src/relay/request_completion.cpp
+++ b/src/relay/request_completion.cpp
@@ -92,7 +92,7 @@
 {
     std::optional<time_point> trial;
     for (const relay_part &part : m_request.parts) {
-        const auto next = m_state.leaves.nextTrial(part.service, m_context.now);
+        const auto next = m_state.leaves.usableAt(part.service, m_context.now);
         if (next.has_value() && (!trial.has_value() || *next > *trial))
             trial = next;
     }
@@ -188,7 +188,7 @@
                    {"parts", fmt::format("{}/{}", m_request.answeredParts, m_request.parts.size())},
                    {"took_ms", milliseconds(m_context.now - m_request.arrived)},
                    {"time_left_ms", milliseconds(m_request.deadline - m_context.now)}};
-    if (m_request.readDelay > duration(0))
+    if (m_request.readDelay >= std::chrono::milliseconds(1))
         line.fields.emplace_back("read_delay_ms", milliseconds(m_request.readDelay));
     if (m_request.extraAttempts > 0)
         line.fields.emplace_back("extra_requests", std::to_string(m_request.extraAttempts));
--- a/tests/platform/platform_wire_test.cpp
+++ b/tests/platform/platform_wire_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(forwardsBodyAndEndToEndFieldsUnchanged);
     CPPUNIT_TEST(missingOrInvalidDeadlineIsIgnored);
     CPPUNIT_TEST(leafRepliesAreClassifiedByStatusAndFields);
+    CPPUNIT_TEST(announcementsOfServersAreParsed);
     CPPUNIT_TEST(leafReplyKeepsStatusBodyAndEndToEndFields);
     CPPUNIT_TEST(mergedAnswersAndRefusalsAreFormatted);
     CPPUNIT_TEST(storeCallsAreFormattedAsRequestLines);
@@ -107,6 +108,41 @@
         CPPUNIT_ASSERT(!failed.notRun && !failed.isSuccess());
     }
 
+    /// Guards against announcements that are missed, or taken from another server or from a field
+    /// that does not have the form of the protocol.
+    void announcementsOfServersAreParsed()
+    {
+        const auto parse = [this](const std::string &status, const std::string &fields) {
+            return m_wire.readLeafReply(parseResponse("HTTP/1.1 " + status + "\r\n" + fields
+                                                      + "Content-Length: 0\r\n\r\n"));
+        };
+        CPPUNIT_ASSERT(parse("200 OK", "Server-Leaving: 1\r\n").leaving);
+        CPPUNIT_ASSERT(parse("503 x", "Server-Leaving: 1\r\n").leaving);
+        for (const char *value : {"", "0", "true", "11"})
+            CPPUNIT_ASSERT(
+                !parse("200 OK", std::string("Server-Leaving: ") + value + "\r\n").leaving);
+        CPPUNIT_ASSERT(!parse("421 x", "Server-Leaving: 1\r\n").leaving);
+        const std::vector<std::pair<std::string, std::optional<int>>> pauses = {
+            {"2", 2000},
+            {"0.25", 250},
+            {"0", 0},
+            {"86400", 86400000},
+            {"1e300", 86400000},
+            {"-1", {}},
+            {"soon", {}},
+            {"nan", {}},
+            {"", {}},
+            {"1 s", {}},
+            {"Fri, 04 Dec 2026 08:00:00 GMT", {}}};
+        for (const auto &[value, expected] : pauses) {
+            const auto pause = parse("503 x", "Retry-After: " + value + "\r\n").pause;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(value, expected.has_value(), pause.has_value());
+            CPPUNIT_ASSERT_MESSAGE(value, !pause || *pause == std::chrono::milliseconds(*expected));
+        }
+        CPPUNIT_ASSERT(!parse("503 x", "").pause.has_value());
+        CPPUNIT_ASSERT(!parse("200 OK", "Retry-After: 2\r\n").pause.has_value());
+    }
+
     /// Guards against changes to the status, body or end-to-end fields of a backend server's
     /// answer.
     void leafReplyKeepsStatusBodyAndEndToEndFields()
--- a/tests/relay/leaf_pool_test.cpp
+++ b/tests/relay/leaf_pool_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(unresponsiveServerIsEjectedAndReceivesSingleTrials);
     CPPUNIT_TEST(serverAtConnectionShareIsFull);
     CPPUNIT_TEST(leavingServerIsNotChosen);
+    CPPUNIT_TEST(departureAnnouncedInAnAnswerIsFinalUntilRestart);
+    CPPUNIT_TEST(pausedServerIsNotChosenUntilThePauseEnds);
     CPPUNIT_TEST(unlistedServerIsChosenOnlyWithoutRegisteredOnes);
     CPPUNIT_TEST(serverThatRejectsConnectionsIsNotEjected);
     CPPUNIT_TEST(slownessRisesAfterSlowServerButNotAfterPause);
@@ -71,14 +73,14 @@
         down->onSent({1}, 10ms, m_now);
         down->onNoResponse({1}, m_now);
         CPPUNIT_ASSERT(choose().server != down);
-        CPPUNIT_ASSERT(m_pool.nextTrial({"s"}, m_now) == m_now + 250ms);
+        CPPUNIT_ASSERT(m_pool.usableAt({"s"}, m_now) == m_now + 250ms);
         m_now += 20s;
         CPPUNIT_ASSERT(choose().server == down);
         // Only one trial request at a time.
         down->onSent({2}, 10ms, m_now);
         CPPUNIT_ASSERT(choose().server != down);
         down->onNoResponse({2}, m_now);
-        CPPUNIT_ASSERT(m_pool.nextTrial({"s"}, m_now) == m_now + 500ms);
+        CPPUNIT_ASSERT(m_pool.usableAt({"s"}, m_now) == m_now + 500ms);
     }
 
     /// Guards against connections that a server resets because all hosts together open too many.
@@ -118,6 +120,41 @@
         CPPUNIT_ASSERT(!m_pool.isServed({"s"}, m_now));
     }
 
+    /// Guards against requests to a server that is about to stop, sent because the store has not
+    /// told of its departure or still has an older registration.
+    void departureAnnouncedInAnAnswerIsFinalUntilRestart()
+    {
+        choose().server->onLeaving();
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), choose().server->entry().id.value);
+        m_pool.put(entryOf("here"), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), choose().server->entry().id.value);
+        registered_server restarted = entryOf("here");
+        restarted.startedAt = 5;
+        m_pool.put(restarted, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("here"), choose().server->entry().id.value);
+    }
+
+    /// Guards against requests to a server that asked for none, also as trials or because a shorter
+    /// pause came later.
+    void pausedServerIsNotChosenUntilThePauseEnds()
+    {
+        for (const char *zone : {"near", "far"}) {
+            registered_server leaving = entryOf(zone);
+            leaving.leaving = true;
+            m_pool.put(leaving, m_now);
+        }
+        const auto server = choose().server;
+        server->onNoResponse({1}, m_now);
+        server->onPauseRequested(m_now + 2s);
+        server->onPauseRequested(m_now + 1s);
+        CPPUNIT_ASSERT(!m_pool.isServed({"s"}, m_now));
+        CPPUNIT_ASSERT(m_pool.usableAt({"s"}, m_now) == m_now + 2s);
+        m_now += 1999ms;
+        CPPUNIT_ASSERT(choose().result == result_kind::None);
+        m_now += 1ms;
+        CPPUNIT_ASSERT(choose().server == server);
+    }
+
     /// Guards against a host without usable servers when registrations expire during an outage of
     /// the store.
     void unlistedServerIsChosenOnlyWithoutRegisteredOnes()
--- a/tests/relay/load_pattern_test.cpp
+++ b/tests/relay/load_pattern_test.cpp
@@ -70,6 +70,9 @@
     CPPUNIT_TEST(overloadIsRefusedWithinAQuarterOfTheGoal);
     CPPUNIT_TEST(overloadedShardsRefuseFanOutsAtOnce);
     CPPUNIT_TEST(requestsReadLateEndByTheirCallersDeadline);
+    CPPUNIT_TEST(serversThatAnnounceTheirDepartureGetNoFurtherRequests);
+    CPPUNIT_TEST(serversThatAskForAPauseGetNoRequestsMeanwhile);
+    CPPUNIT_TEST(requestsOfAPausedServiceAreRefusedWithItsEnd);
     CPPUNIT_TEST(atMostOnceRequestsRunAtMostOnce);
     CPPUNIT_TEST(crashingRequestCrashesAtMostFourServers);
     CPPUNIT_TEST(callerDisconnectEndsTheRequest);
@@ -478,7 +481,87 @@
         CPPUNIT_ASSERT(simulation.requests[delayed].latencyMs() <= 500);
     }
 
+    /// Guards against requests to a server that is about to stop while the store cannot tell of it.
+    /// Each host learns it from its own answers.
+    void serversThatAnnounceTheirDepartureGetNoFurtherRequests()
+    {
+        relay_simulation simulation({});
+        const time_point start = simulation.now();
+        simulated_leaf &server = simulation.leafOf("shard-0", 1);
+        simulation.at(4s, [&simulation, &server] {
+            simulation.storeReachable = false;
+            server.announcesLeaving = true;
+        });
+        simulation.load("/all/", 2s, 10s, 8ms);
+        simulation.runUntil(12s);
+        CPPUNIT_ASSERT(arrivalsBetween(server, start + 2s, start + 4s) > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, arrivalsBetween(server, start + 5s, start + 12s));
+        CPPUNIT_ASSERT(servedWithin(simulation, 150) >= 0.995);
+    }
+
+    /// Guards against requests, retries and trials to a server that asked for none.
+    void serversThatAskForAPauseGetNoRequestsMeanwhile()
+    {
+        simulation_layout layout;
+        layout.hosts = 1;
+        relay_simulation simulation(layout);
+        const time_point start = simulation.now();
+        simulated_leaf &server = simulation.leafOf("shard-0", 0);
+        simulation.at(4s, [&server] {
+            server.fault = fault_kind::RefusesAll;
+            server.pause = 3s;
+        });
+        // The shard has no other server, so nothing but the pause keeps requests away.
+        for (const std::size_t zone : {1U, 2U})
+            simulation.leafOf("shard-0", zone).fault = fault_kind::Down;
+        simulation.at(4500ms, [&server] { server.fault = fault_kind::None; });
+        simulation.load("/all/", 2s, 10s, 20ms);
+        simulation.runUntil(12s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             arrivalsBetween(server, start + 4500ms, start + 7000ms));
+        CPPUNIT_ASSERT(arrivalsBetween(server, start + 7500ms, start + 10s) > 0);
+        // Other shards are enough for an answer.
+        CPPUNIT_ASSERT(servedWithin(simulation, 150) >= 0.99);
+    }
+
+    /// Guards against requests that wait, or go to a server that asked for none, when all servers
+    /// of a service did: they are refused at once and told when to come back, not all at the same
+    /// time.
+    void requestsOfAPausedServiceAreRefusedWithItsEnd()
+    {
+        simulation_layout layout;
+        layout.hosts = 1;
+        relay_simulation simulation(layout);
+        for (std::size_t zone = 0; zone < 3; ++zone) {
+            simulation.leafOf("single", zone).fault = fault_kind::RefusesAll;
+            simulation.leafOf("single", zone).pause = 400ms;
+        }
+        simulation.runUntil(2s);
+        for (int i = 0; i < 4; ++i)
+            simulation.send(0, "/one/x");
+        simulation.runUntil(2200ms);
+        const std::size_t first = simulation.requests.size();
+        std::set<std::chrono::milliseconds> delays;
+        for (int i = 0; i < 20; ++i)
+            simulation.send(0, "/one/x");
+        for (std::size_t i = first; i < simulation.requests.size(); ++i) {
+            CPPUNIT_ASSERT(simulation.requests[i].answered.has_value());
+            const auto *refused = std::get_if<refusal>(&simulation.requests[i].answer);
+            CPPUNIT_ASSERT(refused != nullptr && refused->status == 503);
+            CPPUNIT_ASSERT(refused->retryAfter >= 100ms);
+            delays.insert(refused->retryAfter);
+        }
+        CPPUNIT_ASSERT(delays.size() > 5);
+    }
+
 private:
+    static std::size_t arrivalsBetween(const simulated_leaf &server, time_point from, time_point to)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(server.arrivals.begin(), server.arrivals.end(),
+                          [from, to](time_point at) { return at >= from && at < to; }));
+    }
+
     /// Applies the fault to one of three servers from 4 s to 9 s and checks latency and coverage.
     static void checkFault(fault_kind fault)
     {
--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -395,6 +395,8 @@
         leaf_reply refused;
         refused.status = 503;
         refused.notRun = true;
+        refused.pause = server.pause;
+        refused.leaving = server.announcesLeaving;
         reply(host, action.attempt, oneWayDelay, refused);
         return;
     }
@@ -416,6 +418,7 @@
                 fail(host, action.attempt, oneWayDelay, leaf_failure::ConnectionLost);
                 return;
             }
+            content.leaving = server.announcesLeaving;
             if (server.fault == fault_kind::FailsAll)
                 content.status = 500;
             if (server.fault != fault_kind::Silent)
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -28,6 +28,10 @@
     double slowness = 1;
     /// The server starts no request before this time.
     time_point pausedUntil{};
+    /// Whether the server announces in its answers that it is leaving.
+    bool announcesLeaving = false;
+    /// Time without requests that the server asks for when it refuses one.
+    std::optional<std::chrono::milliseconds> pause;
     /// Share of the requests that the server refuses without running them, 0..1.
     double refusalRate = 0;
     /// Share of the replies that are lost after the request has run, 0..1.
