Count the wait before the read towards the latency goal

Cause: a request that waited 60 ms for a busy loop was answered with its missing parts left out 60 ms after its goal, since the goal was counted from the read (simulation).

Change: the read delay is subtracted from the time until an incomplete answer.

Test: load_pattern_test::requestsReadLateAreAnsweredWithinTheirGoal failed before.

--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -169,7 +169,8 @@
         std::max<duration>(std::chrono::duration_cast<duration>(goal * settings.goalMarginFraction),
                            settings.minGoalMargin * roundTrips);
     const auto least = std::chrono::duration_cast<duration>(goal * settings.minResendGoalFraction);
-    pending->partialAnswerAt = m_now + std::max<duration>(goal - timeSinceFirstTry - margin, least);
+    pending->partialAnswerAt =
+        m_now + std::max<duration>(goal - timeSinceFirstTry - received.delay - margin, least);
     pending->queueDeadline =
         m_now + std::chrono::duration_cast<duration>(goal * settings.maxWaitFraction);
 
--- a/tests/relay/load_pattern_test.cpp
+++ b/tests/relay/load_pattern_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(overloadIsRefusedWithinAQuarterOfTheGoal);
     CPPUNIT_TEST(overloadedShardsRefuseFanOutsAtOnce);
     CPPUNIT_TEST(requestsReadLateEndByTheirCallersDeadline);
+    CPPUNIT_TEST(requestsReadLateAreAnsweredWithinTheirGoal);
     CPPUNIT_TEST(serversThatAnnounceTheirDepartureGetNoFurtherRequests);
     CPPUNIT_TEST(serversThatAskForAPauseGetNoRequestsMeanwhile);
     CPPUNIT_TEST(requestsOfAPausedServiceAreRefusedWithItsEnd);
@@ -481,6 +482,22 @@
         CPPUNIT_ASSERT(simulation.requests[delayed].latencyMs() <= 500);
     }
 
+    /// Guards against an answer that waits for a missing part beyond the goal, because the time
+    /// before the request was read was not counted.
+    void requestsReadLateAreAnsweredWithinTheirGoal()
+    {
+        relay_simulation simulation({});
+        simulation.load("/all/", 500ms, 2s, 20ms);
+        simulation.runUntil(2s);
+        for (std::size_t zone = 0; zone < 3; ++zone)
+            simulation.leafOf("shard-3", zone).fault = fault_kind::Silent;
+        const std::size_t delayed = simulation.send(0, "/all/x", {}, 60ms);
+        simulation.runUntil(4s);
+        CPPUNIT_ASSERT_EQUAL(200, simulation.requests[delayed].status());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, simulation.requests[delayed].parts());
+        CPPUNIT_ASSERT(simulation.requests[delayed].latencyMs() + 60 + 12 <= 150);
+    }
+
     /// Guards against requests to a server that is about to stop while the store cannot tell of it.
     /// Each host learns it from its own answers.
     void serversThatAnnounceTheirDepartureGetNoFurtherRequests()
