--- a/src/http/raw_server.cpp
+++ b/src/http/raw_server.cpp
@@ -147,8 +147,8 @@
                           [this, number](stream_end /*reason*/) { onEnd(number); },
                           {}});
     m_connections.emplace(number, std::move(peer));
-    // A later pass of the loop would not know that the first request waited together with the
-    // connection. The loop finds nothing in the socket if there was none.
+    // A later pass of the loop would not know that the first request waited as long as its
+    // connection.
     if (m_loop != nullptr)
         reader->transport->readNow();
 }
