List again when the store comes back from an older copy

Nothing knew it: a host whose revision the store had passed again went on watching and missed the changes between, as did all hosts behind a reader.

Change: revisions are compared within an era only. A later era, from the store or another host, drops pages and revision and lists again; an earlier one, or none once one was seen, is refused and logged. Hosts state the era to each other in a header; a reader empties its cache with the era. The newest version of the routes stays in force; the same version with other content is adopted in a later era. Departures are final for an incarnation of a server, also after it was removed.

--- a/src/relay/leaf.cpp
+++ b/src/relay/leaf.cpp
@@ -9,7 +9,8 @@
 leaf::leaf(const leaf_settings &settings, registered_server entry, time_point now)
     : m_settings(settings), m_entry(std::move(entry)),
       m_limit(settings.requestsPerSlot * m_entry.slots, now, settings.limitRamp), m_slownessAt(now),
-      m_errorsAt(now), m_coldUntil(now + m_entry.coldFor), m_backoffUntil(now)
+      m_errorsAt(now), m_coldUntil(now + m_entry.coldFor), m_backoffUntil(now),
+      m_leaving(m_entry.leaving)
 { }
 
 void leaf::update(registered_server entry, time_point now)
@@ -22,9 +23,10 @@
         m_ejectedUntil.reset();
         m_ejections = 0;
         m_consecutiveLosses = 0;
-        m_announcedLeaving = false;
+        m_leaving = false;
         m_pausedUntil = {};
     }
+    m_leaving = m_leaving || entry.leaving;
     m_entry = std::move(entry);
     m_limit.setCeiling(m_settings.requestsPerSlot * m_entry.slots);
     unlistedSince.reset();
--- a/src/relay/leaf.h
+++ b/src/relay/leaf.h
@@ -72,11 +72,11 @@
     /// Applies a changed registration. Estimates, ejections, pauses and the announced departure are
     /// reset if the start time or address of the server changed.
     void update(registered_server entry, time_point now);
-    /// Records that the server announced its departure in an answer. It is final until the server
-    /// restarts: a registration may be older than the answer.
-    void onLeaving() { m_announcedLeaving = true; }
+    /// Records that the server announced its departure. It is final until the server restarts: a
+    /// registration may be older than an answer, or come from an older copy of the store.
+    void onLeaving() { m_leaving = true; }
     /// Whether the server announced its departure, in its registration or in an answer.
-    bool isLeaving() const { return m_announcedLeaving || m_entry.leaving; }
+    bool isLeaving() const { return m_leaving; }
     /// Records that the server asked to receive no requests until `until`.
     void onPauseRequested(time_point until) { m_pausedUntil = std::max(m_pausedUntil, until); }
     /// Whether the server asked to receive no requests now.
@@ -166,7 +166,7 @@
     time_point m_errorsAt;
     time_point m_coldUntil;
     time_point m_backoffUntil;
-    bool m_announcedLeaving = false;
+    bool m_leaving = false;
     time_point m_pausedUntil{};
     std::optional<time_point> m_lastAnswer;
     std::uint32_t m_consecutiveLosses = 0;
--- a/src/relay/leaf_pool.cpp
+++ b/src/relay/leaf_pool.cpp
@@ -35,6 +35,9 @@
     const auto known = m_servers.find(entry.id);
     if (known == m_servers.end()) {
         auto created = std::make_shared<leaf>(m_settings.leaves, std::move(entry), now);
+        const auto departed = m_departed.find(created->entry().id);
+        if (departed != m_departed.end() && departed->second == created->entry().startedAt)
+            created->onLeaving();
         m_services[created->entry().service].push_back(created);
         m_servers.emplace(created->entry().id, std::move(created));
         return std::nullopt;
@@ -70,6 +73,7 @@
             continue;
         }
         addresses.push_back(position->second->entry().address);
+        rememberDeparture(*position->second);
         removeFromService(position->second);
         position = m_servers.erase(position);
     }
@@ -77,6 +81,15 @@
     return addresses;
 }
 
+void leaf_pool::rememberDeparture(const leaf &server)
+{
+    if (!server.isLeaving())
+        return;
+    if (m_departed.size() >= maxDeparted)
+        m_departed.clear();
+    m_departed[server.entry().id] = server.entry().startedAt;
+}
+
 void leaf_pool::updateNextRemoval()
 {
     std::optional<time_point> earliest;
--- a/src/relay/leaf_pool.h
+++ b/src/relay/leaf_pool.h
@@ -66,6 +66,9 @@
 public:
     using leaf_list = std::vector<std::shared_ptr<leaf>>;
 
+    /// Number of departed servers that are remembered.
+    static constexpr std::size_t maxDeparted = 10000;
+
     leaf_pool(leaf_pool_settings settings, zone_latencies zoneLatencies);
 
     /// Adds or updates the server of a registration. Returns its previous address if that changed.
@@ -104,6 +107,7 @@
 private:
     struct rating;
 
+    void rememberDeparture(const leaf &server);
     void updateNextRemoval();
     void removeFromService(const std::shared_ptr<leaf> &server);
     std::size_t requestLimit(const leaf &candidate) const;
@@ -118,6 +122,8 @@
     std::optional<time_point> m_removalAt;
     std::map<server_id, std::shared_ptr<leaf>> m_servers;
     absl::flat_hash_map<service_id, leaf_list> m_services;
+    /// Start times of servers that left. An older copy of the store may list them again.
+    std::map<server_id, std::int64_t> m_departed;
 };
 
 } // namespace waxwing::relay
--- a/src/relay/peer_store_server.cpp
+++ b/src/relay/peer_store_server.cpp
@@ -1,6 +1,7 @@
 #include "relay/peer_store_server.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -33,6 +34,16 @@
         cache.advanceRevision(revision);
 }
 
+void peer_store_server::beginEra(store_object_kind kind, std::uint64_t era)
+{
+    kind_cache &state = m_caches[kind];
+    if (era <= state.era)
+        return;
+    state.era = era;
+    state.cache.clear();
+    state.confirmedAt.reset();
+}
+
 void peer_store_server::onStoreFailure(store_object_kind kind, relay_effect_list &effects)
 {
     // The refused hosts call another reader or the store.
@@ -45,21 +56,23 @@
         return true;
     });
     if (!refused.empty())
-        effects.push_back(answer_peer{std::move(refused), store_failure::Unavailable});
+        effects.push_back(
+            answer_peer{std::move(refused), store_failure::Unavailable, false, m_caches[kind].era});
 }
 
 void peer_store_server::onPeerStoreRequest(const peer_request_received &asked, time_point now,
                                            relay_effect_list &effects)
 {
     const kind_cache &state = m_caches[asked.call.kind];
-    if (!isUpToDate(state, now)) {
-        effects.push_back(answer_peer{{asked.id}, store_failure::Unavailable});
+    const auto *watch = std::get_if<watch_call>(&asked.call.how);
+    const bool isBehind = watch != nullptr && watch->era > state.era;
+    if (isBehind || !isUpToDate(state, now)) {
+        effects.push_back(answer_peer{{asked.id}, store_failure::Unavailable, false, state.era});
         return;
     }
-    const auto *watch = std::get_if<watch_call>(&asked.call.how);
     if (watch == nullptr) {
         effects.push_back(
-            answer_peer{{asked.id}, state.cache.list(), asked.call.acceptsCompression});
+            answer_peer{{asked.id}, state.cache.list(), asked.call.acceptsCompression, state.era});
         return;
     }
     m_waiting[asked.id.value] = {asked.call, now + watch->wait};
@@ -69,19 +82,23 @@
 void peer_store_server::answerWaitingHosts(store_object_kind kind, time_point now,
                                            relay_effect_list &effects)
 {
-    const store_cache &cache = m_caches[kind].cache;
-    std::map<std::pair<std::uint64_t, bool>, std::vector<request_id>> groups;
+    const kind_cache &state = m_caches[kind];
+    const store_cache &cache = state.cache;
+    if (!cache.isComplete())
+        return;
+    std::map<std::tuple<std::uint64_t, std::uint64_t, bool>, std::vector<request_id>> groups;
     for (const auto &[id, waiting] : m_waiting) {
         const store_call &call = waiting.call;
-        if (call.kind == kind)
-            groups[{std::get<watch_call>(call.how).revision, call.acceptsCompression}].push_back(
-                {id});
+        if (call.kind != kind)
+            continue;
+        const auto &watch = std::get<watch_call>(call.how);
+        groups[{watch.era, watch.revision, call.acceptsCompression}].push_back({id});
     }
     // The hosts of a zone usually wait for the same revision. Grouping them means that a large
     // answer is built and formatted only once.
     for (auto &[key, ids] : groups) {
-        const auto [revision, compressed] = key;
-        auto changes = cache.changesAfter(revision);
+        const auto [era, revision, compressed] = key;
+        auto changes = era == state.era ? cache.changesAfter(revision) : std::nullopt;
         if (changes.has_value() && changes->objects.empty()) {
             std::erase_if(
                 ids, [this, now](request_id id) { return now < m_waiting.at(id.value).deadline; });
@@ -91,9 +108,11 @@
         for (const request_id id : ids)
             m_waiting.erase(id.value);
         if (changes.has_value())
-            effects.push_back(answer_peer{std::move(ids), *std::move(changes), compressed});
+            effects.push_back(
+                answer_peer{std::move(ids), *std::move(changes), compressed, state.era});
         else
-            effects.push_back(answer_peer{std::move(ids), store_failure::HistoryGone});
+            effects.push_back(
+                answer_peer{std::move(ids), store_failure::HistoryGone, false, state.era});
     }
 }
 
@@ -111,9 +130,10 @@
         if (isUpToDate(state, now)) {
             store_answer unchanged;
             unchanged.revision = state.cache.revision();
-            effects.push_back(answer_peer{{{entry.first}}, std::move(unchanged)});
+            effects.push_back(answer_peer{{{entry.first}}, std::move(unchanged), false, state.era});
         } else {
-            effects.push_back(answer_peer{{{entry.first}}, store_failure::Unavailable});
+            effects.push_back(
+                answer_peer{{{entry.first}}, store_failure::Unavailable, false, state.era});
         }
         return true;
     });
--- a/src/relay/peer_store_server.h
+++ b/src/relay/peer_store_server.h
@@ -25,6 +25,10 @@
     /// Handles an answer of the store at `revision`. `update` is empty if nothing has changed.
     void onStoreAnswer(store_object_kind kind, const std::optional<store_update> &update,
                        std::uint64_t revision, time_point now, relay_effect_list &effects);
+    /// Empties the cache of a kind if `era` is later than its era. Other hosts are refused until
+    /// the objects were listed in the new era; those that watch in an earlier one then list them
+    /// again.
+    void beginEra(store_object_kind kind, std::uint64_t era);
     /// Handles an answer of another host at `revision`, so that the cache is complete if this host
     /// becomes a reader.
     void onSourceAnswer(store_object_kind kind, const std::optional<store_update> &update,
@@ -50,6 +54,7 @@
     {
         store_cache cache;
         std::optional<time_point> confirmedAt;
+        std::uint64_t era = 0;
     };
     struct waiting_host
     {
--- a/src/relay/relay_dispatch.h
+++ b/src/relay/relay_dispatch.h
@@ -27,6 +27,8 @@
     store_watcher routes;
     /// Follows the registrations of backend servers in the store.
     store_watcher servers;
+    /// Era of the store in which the routes in force were read.
+    std::uint64_t routesEra = 0;
     /// Answers store calls of other hosts.
     peer_store_server peerAnswers;
     membership members;
--- a/src/relay/relay_effect.h
+++ b/src/relay/relay_effect.h
@@ -66,6 +66,8 @@
     std::variant<store_answer, store_failure> answer;
     /// Whether the answer is sent compressed.
     bool compressed = false;
+    /// Era of the store that the answer comes from.
+    std::uint64_t era = 0;
 
     bool operator==(const answer_peer &) const = default;
 };
--- a/src/relay/relay_event.h
+++ b/src/relay/relay_event.h
@@ -47,6 +47,8 @@
 {
     store_call call;
     std::variant<store_answer, store_failure> outcome;
+    /// Era that the response states; empty if there was no response or it states none.
+    std::optional<std::uint64_t> era{};
 
     bool operator==(const store_call_ended &) const = default;
 };
--- a/src/relay/relay_reducer.cpp
+++ b/src/relay/relay_reducer.cpp
@@ -46,6 +46,7 @@
     relay_status result;
     result.stopping = m_parts->stop.isStopping();
     result.ready = requests.document != nullptr && m_parts->servers.hasListed() && !result.stopping;
+    result.storeEra = std::max(m_parts->routes.era(), m_parts->servers.era());
     result.routesVersion = requests.document ? requests.document->version() : 0;
     result.servers = requests.leaves.size();
     result.hosts = requests.hosts;
--- a/src/relay/relay_reducer.h
+++ b/src/relay/relay_reducer.h
@@ -19,6 +19,8 @@
     bool stopping = false;
     /// Version of the routes in force; 0 if there are none.
     std::uint64_t routesVersion = 0;
+    /// Latest era of the store that was seen.
+    std::uint64_t storeEra = 0;
     /// Number of backend servers in the pool.
     std::size_t servers = 0;
     /// Number of relay hosts, including this one.
--- a/src/relay/store_types.h
+++ b/src/relay/store_types.h
@@ -15,6 +15,10 @@
 
 namespace waxwing::relay {
 
+// The era of the store rises each time that the store was restored from an older copy. Changes that
+// were acknowledged before may then be missing, and their revisions are given out again. A store
+// that states no era is in era 0.
+
 /// Kinds of objects in the platform's store that a host watches.
 enum class store_object_kind {
     /// The route document.
@@ -64,6 +68,8 @@
     std::uint64_t revision = 0;
     /// Time after which the store answers even if nothing has changed.
     std::chrono::milliseconds wait{0};
+    /// Era in which `revision` was received. Revisions of different eras are not comparable.
+    std::uint64_t era = 0;
 
     bool operator==(const watch_call &) const = default;
 };
--- a/src/relay/store_update_handler.cpp
+++ b/src/relay/store_update_handler.cpp
@@ -43,9 +43,13 @@
     store_watcher &watcher =
         called.call.kind == store_object_kind::Routes ? m_parts.routes : m_parts.servers;
     const std::uint32_t failuresBefore = watcher.failures();
+    const std::uint64_t eraBefore = watcher.era();
+    const bool hadListed = watcher.hasListed();
     const auto update = watcher.onCallFinished(called, m_now, m_parts.random);
     logStoreAvailability(called, watcher, failuresBefore);
-    shareWithPeers(called, update, watcher.revision());
+    if (watcher.era() > eraBefore)
+        onNewEra(called.call.kind, eraBefore, hadListed);
+    shareWithPeers(called, update, watcher);
     std::set<service_id> changed;
     if (update.has_value() && called.call.kind == store_object_kind::Routes)
         applyRoutes(*update);
@@ -55,12 +59,38 @@
     return changed;
 }
 
+void store_update_handler::onNewEra(store_object_kind kind, std::uint64_t before, bool hadListed)
+{
+    const bool isRoutes = kind == store_object_kind::Routes;
+    const std::uint64_t era = isRoutes ? m_parts.routes.era() : m_parts.servers.era();
+    (isRoutes ? m_parts.servers : m_parts.routes).onEra(era, m_now);
+    if (!hadListed)
+        return;
+    m_effects.emplace_back(count_metric{"relay_store_restores_total", 1});
+    appendLog(m_effects, log_level::Warning, "the store was restored from an older copy",
+              {{"kind", kindName(kind)},
+               {"era_before", fmt::to_string(before)},
+               {"era", fmt::to_string(era)}});
+}
+
 void store_update_handler::shareWithPeers(const store_call_ended &called,
                                           const std::optional<store_update> &update,
-                                          std::uint64_t revision)
+                                          const store_watcher &watcher)
 {
     const store_object_kind kind = called.call.kind;
-    const bool failed = std::holds_alternative<store_failure>(called.outcome);
+    const std::uint64_t revision = watcher.revision();
+    const bool isAnswer = std::holds_alternative<store_answer>(called.outcome);
+    const bool isEarlier = isAnswer && called.era.value_or(0) < watcher.era();
+    const bool failed = !isAnswer || isEarlier;
+    m_parts.peerAnswers.beginEra(kind, watcher.era());
+    if (isEarlier) {
+        appendLog(m_effects, log_level::Warning, "ignored an answer of an earlier era of the store",
+                  {{"kind", kindName(kind)},
+                   {"era", called.era.has_value() ? fmt::to_string(*called.era) : "none"},
+                   {"expected_era", fmt::to_string(watcher.era())},
+                   {"source",
+                    called.call.source.has_value() ? called.call.source->toString() : "store"}});
+    }
     if (called.call.source.has_value()) {
         if (!failed)
             m_parts.peerAnswers.onSourceAnswer(kind, update, revision);
@@ -115,7 +145,9 @@
 {
     relay_requests &requests = m_parts.requests;
     const std::uint64_t previousVersion = requests.document ? requests.document->version() : 0;
-    if (requests.document != nullptr && document->version() <= previousVersion) {
+    const bool isRewrite = requests.document != nullptr && document->version() == previousVersion
+        && m_parts.routes.era() > m_parts.routesEra && !(*document == *requests.document);
+    if (requests.document != nullptr && document->version() <= previousVersion && !isRewrite) {
         if (document->version() < previousVersion) {
             appendLog(m_effects, log_level::Error, "ignored an older document of routes",
                       {{"version", fmt::to_string(document->version())},
@@ -124,6 +156,7 @@
         return;
     }
     requests.document = document;
+    m_parts.routesEra = m_parts.routes.era();
     for (const route &each : document->routes()) {
         const auto pace = requests.routeStatistics.find(each.name);
         if (pace != requests.routeStatistics.end())
@@ -135,6 +168,7 @@
     appendLog(m_effects, log_level::Info, "adopted routes",
               {{"version", fmt::to_string(document->version())},
                {"before", fmt::to_string(previousVersion)},
+               {"era", fmt::to_string(m_parts.routesEra)},
                {"revision", fmt::to_string(object.revision)},
                {"routes", fmt::to_string(document->routes().size())}});
 }
--- a/src/relay/store_update_handler.h
+++ b/src/relay/store_update_handler.h
@@ -35,7 +35,9 @@
 
     /// Passes the result of a call to the cache from which other hosts are answered.
     void shareWithPeers(const store_call_ended &called, const std::optional<store_update> &update,
-                        std::uint64_t revision);
+                        const store_watcher &watcher);
+    /// Tells the watcher of the other kind of the era and logs the restore.
+    void onNewEra(store_object_kind kind, std::uint64_t before, bool hadListed);
     void logStoreAvailability(const store_call_ended &called, const store_watcher &watcher,
                               std::uint32_t failuresBefore);
     void applyRoutes(const store_update &update);
--- a/src/relay/store_watcher.cpp
+++ b/src/relay/store_watcher.cpp
@@ -76,10 +76,11 @@
         // watch without wait time detects its recovery sooner.
         const bool returnsAtOnce = m_failures > 0 || m_confirmsAtOnce;
         call.how = watch_call{
-            m_revision, returnsAtOnce ? std::chrono::milliseconds(0) : m_settings.watchTimeout};
+            m_revision, returnsAtOnce ? std::chrono::milliseconds(0) : m_settings.watchTimeout,
+            m_era};
         m_confirmsAtOnce = false;
     } else {
-        call.how = watch_call{m_revision, m_settings.peerWatchTimeout};
+        call.how = watch_call{m_revision, m_settings.peerWatchTimeout, m_era};
     }
     return call;
 }
@@ -93,18 +94,61 @@
     m_callsStore = false;
     if (ended.call.source.has_value())
         ++m_sourceCalls;
+    const std::uint64_t era = ended.era.value_or(0);
+    const bool isLater = era > m_era;
+    if (isLater)
+        beginEra(era);
     if (const auto *failure = std::get_if<store_failure>(&ended.outcome)) {
-        if (ended.call.source.has_value())
-            onSourceFailure(*ended.call.source, *failure, now);
-        else
-            onStoreFailure(*failure, now, random);
+        onFailure(ended.call, *failure, now, random);
+        return std::nullopt;
+    }
+    if (era < m_era) {
+        onFailure(ended.call, store_failure::Unavailable, now, random);
         return std::nullopt;
     }
     m_refusals = 0;
     m_failures = 0;
+    const auto *list = std::get_if<list_call>(&ended.call.how);
+    // The first page of a list is complete by itself; anything else continues the earlier era.
+    if (isLater && (list == nullptr || !list->after.empty())) {
+        m_nextCallAt = now;
+        return std::nullopt;
+    }
     return onResponse(ended.call, std::get<store_answer>(ended.outcome), now);
 }
 
+void store_watcher::onFailure(const store_call &call, store_failure reason, time_point now,
+                              random_engine &random)
+{
+    if (call.source.has_value())
+        onSourceFailure(*call.source, reason, now);
+    else
+        onStoreFailure(reason, now, random);
+}
+
+void store_watcher::beginEra(std::uint64_t era)
+{
+    m_era = era;
+    m_revision = 0;
+    m_needsList = true;
+    discardPages();
+}
+
+void store_watcher::onEra(std::uint64_t era, time_point now)
+{
+    if (era <= m_era)
+        return;
+    const bool isFirstPage = !m_hasListed && m_pages.empty();
+    beginEra(era);
+    // The first page is checked when it arrives.
+    if (isFirstPage)
+        return;
+    // The answer to a call in progress is ignored because of its number.
+    m_callInProgress = false;
+    m_callsStore = false;
+    m_nextCallAt = now;
+}
+
 std::optional<store_update> store_watcher::onResponse(const store_call &call,
                                                       const store_answer &answer, time_point now)
 {
--- a/src/relay/store_watcher.h
+++ b/src/relay/store_watcher.h
@@ -64,9 +64,13 @@
     /// that it can answer other hosts.
     void setRole(store_role role, time_point now);
     /// Handles the result of a call. Returns empty if the call is not the one in progress, failed,
-    /// was not the last page of a list, or reported no change.
+    /// was not the last page of a list, reported no change, or came from another era: an earlier
+    /// one is rejected like a refusal, and after a later one the objects are listed again.
     std::optional<store_update> onCallFinished(const store_call_ended &ended, time_point now,
                                                random_engine &random);
+    /// Lists the objects again if `era` is later than the era known so far, because another answer
+    /// stated it.
+    void onEra(std::uint64_t era, time_point now);
     /// Starts the next call if it is due.
     void onTick(time_point now, relay_effect_list &effects);
     /// When `onTick` is next due; empty while a call is in progress.
@@ -77,13 +81,18 @@
     /// Consecutive failed calls to the store, not counting those that failed with HistoryGone;
     /// reset by any successful call.
     std::uint32_t failures() const { return m_failures; }
-    /// Store revision up to which all changes have been received.
+    /// Store revision up to which all changes have been received, in `era`.
     std::uint64_t revision() const { return m_revision; }
+    /// Latest era of the store that was seen.
+    std::uint64_t era() const { return m_era; }
 
 private:
     std::optional<endpoint> chooseSource(time_point now) const;
     store_call createCall(time_point now);
     void discardPages();
+    void beginEra(std::uint64_t era);
+    void onFailure(const store_call &call, store_failure reason, time_point now,
+                   random_engine &random);
     void onSourceFailure(const endpoint &source, store_failure reason, time_point now);
     void endDirectRead(time_point now);
     void startDirectRead(time_point now);
@@ -114,6 +123,7 @@
     bool m_confirmsAtOnce = false;
     std::uint32_t m_failures = 0;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_era = 0;
     std::vector<store_object> m_pages;
     /// Lowest revision of the pages in `m_pages`; empty before the first page.
     std::optional<std::uint64_t> m_pagesRevision;
--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -192,7 +192,7 @@
 void relay_process::answerPeers(const answer_peer &action)
 {
     const time_point start = m_time.now();
-    http::response content = m_codec.formatStoreOutcome(action.answer);
+    http::response content = m_codec.formatStoreOutcome(action.answer, action.era);
     if (action.compressed && content.body.size() >= minCompressedBytes) {
         content.body = http::deflated(content.body);
         content.headers.emplace_back("Content-Encoding", http::deflateCoding);
@@ -274,13 +274,14 @@
     fmt::format_to(std::back_inserter(text),
                    "# TYPE waxwing_relay_ready gauge\nwaxwing_relay_ready {}\n"
                    "# TYPE waxwing_relay_routes_version gauge\nwaxwing_relay_routes_version {}\n"
+                   "# TYPE waxwing_relay_store_era gauge\nwaxwing_relay_store_era {}\n"
                    "# TYPE waxwing_relay_servers gauge\nwaxwing_relay_servers {}\n"
                    "# TYPE waxwing_relay_hosts gauge\nwaxwing_relay_hosts {}\n"
                    "# TYPE waxwing_relay_requests gauge\nwaxwing_relay_requests {}\n"
                    "# TYPE waxwing_log_lines_dropped_total counter\n"
                    "waxwing_log_lines_dropped_total {}\n",
-                   status.ready ? 1 : 0, status.routesVersion, status.servers, status.hosts,
-                   status.requests, m_log.dropped());
+                   status.ready ? 1 : 0, status.routesVersion, status.storeEra, status.servers,
+                   status.hosts, status.requests, m_log.dropped());
     reply.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(text)});
 }
 
--- a/src/relay_host/store_client.cpp
+++ b/src/relay_host/store_client.cpp
@@ -66,7 +66,7 @@
     const store_call call = found->second.call;
     m_pending.erase(found);
     const time_point start = m_time.now();
-    store_call_ended ended{call, read(call, outcome)};
+    store_call_ended ended{call, read(call, outcome), m_codec.readStoreEra(outcome)};
     m_profile.add("decode store answer", m_time.now() - start);
     m_onEvent(std::move(ended));
 }
--- a/src/relay_host/wire_codec.h
+++ b/src/relay_host/wire_codec.h
@@ -7,6 +7,7 @@
 #include "relay/relay_event.h"
 #include "relay/relay_types.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -32,12 +33,16 @@
     /// Parses the outcome of a call to the store.
     virtual std::variant<store_answer, store_failure>
     readStoreOutcome(const store_call &call, const http::client_pool::outcome &outcome) const = 0;
+    /// Parses the era that a response states; empty if there is none or it is malformed.
+    virtual std::optional<std::uint64_t>
+    readStoreEra(const http::client_pool::outcome &outcome) const = 0;
     /// Parses a request of another host, which has the format of a call to the store. Empty if the
     /// request is malformed.
     virtual std::optional<store_call> readStoreCall(const http::raw_request &message) const = 0;
-    /// Formats the answer to another host in the format of an answer of the store.
+    /// Formats the answer to another host in the format of an answer of the store in `era`.
     virtual http::response
-    formatStoreOutcome(const std::variant<store_answer, store_failure> &outcome) const = 0;
+    formatStoreOutcome(const std::variant<store_answer, store_failure> &outcome,
+                       std::uint64_t era) const = 0;
     /// Path of the readiness probe, which reports whether the host accepts callers.
     virtual std::string readinessPath() const = 0;
 };
--- a/tests/platform/platform_wire_test.cpp
+++ b/tests/platform/platform_wire_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(mergedAnswersAndRefusalsAreFormatted);
     CPPUNIT_TEST(storeCallsAreFormattedAsRequestLines);
     CPPUNIT_TEST(storeOutcomesAreMappedToFailures);
+    CPPUNIT_TEST(erasAreStatedToOtherHostsOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -217,6 +218,34 @@
             m_wire.readStoreOutcome({}, status(200, R"({"items":[],"currentRev":3})"))));
     }
 
+    /// Guards against an unknown header in calls to the store, and against eras that are lost
+    /// between hosts or read from a malformed field.
+    void erasAreStatedToOtherHostsOnly()
+    {
+        relay::store_call call{relay::store_object_kind::Servers, 1,
+                               relay::watch_call{530, std::chrono::milliseconds(200), 3}};
+        const endpoint peer{"10.0.0.1", 7740};
+        CPPUNIT_ASSERT(m_wire.formatStoreCall(call, peer).bytes.find("Store-Era")
+                       == std::string::npos);
+        call.source = peer;
+        const auto read =
+            m_wire.readStoreCall(parseRequest(m_wire.formatStoreCall(call, peer).bytes));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, std::get<relay::watch_call>(read->how).era);
+        const auto eraOf = [this](const std::string &field) {
+            return m_wire.readStoreEra(
+                parseResponse("HTTP/1.1 410 Gone\r\n" + field + "Content-Length: 0\r\n\r\n"));
+        };
+        CPPUNIT_ASSERT(eraOf("Store-Era: 7\r\n") == std::uint64_t{7});
+        for (const char *field : {"", "Store-Era: \r\n", "Store-Era: -1\r\n", "Store-Era: x\r\n"})
+            CPPUNIT_ASSERT(!eraOf(field).has_value());
+        CPPUNIT_ASSERT(!m_wire.readStoreEra(http::call_failure::ConnectionLost).has_value());
+        const auto answered = m_wire.formatStoreOutcome(relay::store_answer{}, 4);
+        CPPUNIT_ASSERT_EQUAL(std::string("4"), *http::findField(answered.headers, "Store-Era"));
+        CPPUNIT_ASSERT(http::findField(m_wire.formatStoreOutcome(relay::store_answer{}, 0).headers,
+                                       "Store-Era")
+                       == nullptr);
+    }
+
 private:
     platform_wire m_wire;
 };
--- a/tests/relay/leaf_pool_test.cpp
+++ b/tests/relay/leaf_pool_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(serverAtConnectionShareIsFull);
     CPPUNIT_TEST(leavingServerIsNotChosen);
     CPPUNIT_TEST(departureAnnouncedInAnAnswerIsFinalUntilRestart);
+    CPPUNIT_TEST(departureIsRememberedAfterTheServerIsRemoved);
     CPPUNIT_TEST(pausedServerIsNotChosenUntilThePauseEnds);
     CPPUNIT_TEST(unlistedServerIsChosenOnlyWithoutRegisteredOnes);
     CPPUNIT_TEST(serverThatRejectsConnectionsIsNotEjected);
@@ -134,6 +135,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string("here"), choose().server->entry().id.value);
     }
 
+    /// Guards against requests to a server that left and is listed again by an older copy of the
+    /// store.
+    void departureIsRememberedAfterTheServerIsRemoved()
+    {
+        registered_server leaving = entryOf("here");
+        leaving.leaving = true;
+        m_pool.put(leaving, m_now);
+        m_pool.put(entryOf("here"), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), choose().server->entry().id.value);
+        m_pool.markUnlisted({"here"}, m_now);
+        m_now += 3s;
+        m_pool.removeUnlisted(m_now);
+        m_pool.put(entryOf("here"), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), choose().server->entry().id.value);
+    }
+
     /// Guards against requests to a server that asked for none, also as trials or because a shorter
     /// pause came later.
     void pausedServerIsNotChosenUntilThePauseEnds()
--- a/tests/relay/peer_store_server_test.cpp
+++ b/tests/relay/peer_store_server_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(answersAreCompressedForHostsThatAcceptIt);
     CPPUNIT_TEST(connectedHostsAreAnsweredOnce);
     CPPUNIT_TEST(refusesAllWaitingHostsWhenTheStoreFails);
+    CPPUNIT_TEST(hostsOfAnEarlierEraListAgain);
+    CPPUNIT_TEST(hostOfALaterEraIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,6 +66,36 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, content.objects[1].revision);
     }
 
+    /// Guards against hosts that watch on with a revision of an earlier era, and against answers
+    /// from the cache of that era.
+    void hostsOfAnEarlierEraListAgain()
+    {
+        sendWatch(1, 2);
+        m_server.beginEra(store_object_kind::Servers, 1);
+        sendWatch(2, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_effects.size());
+        CPPUNIT_ASSERT(std::get<answer_peer>(m_effects.front()).answer
+                       == (std::variant<store_answer, store_failure>(store_failure::Unavailable)));
+        m_effects.clear();
+        m_server.onStoreAnswer(store_object_kind::Servers, update(true, {"a"}), 1, m_now,
+                               m_effects);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_effects.size());
+        const auto &answer = std::get<answer_peer>(m_effects.front());
+        CPPUNIT_ASSERT(answer.ids == std::vector<request_id>{{1}});
+        CPPUNIT_ASSERT(answer.answer
+                       == (std::variant<store_answer, store_failure>(store_failure::HistoryGone)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, answer.era);
+    }
+
+    /// Guards against a host that takes an earlier era from one that is behind.
+    void hostOfALaterEraIsRefused()
+    {
+        m_server.onPeerStoreRequest(
+            {{1}, {store_object_kind::Servers, 1, watch_call{2, 1500ms, 1}, {}}}, m_now, m_effects);
+        CPPUNIT_ASSERT(std::get<answer_peer>(m_effects.front()).answer
+                       == (std::variant<store_answer, store_failure>(store_failure::Unavailable)));
+    }
+
     /// Guards against compressed answers to hosts of an older version, which cannot read them.
     void answersAreCompressedForHostsThatAcceptIt()
     {
--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -52,6 +52,7 @@
     : m_layout(std::move(layout)), m_random(m_layout.seed), m_now(m_start + 1h)
 {
     m_start = m_now;
+    m_era = m_layout.storeEra;
     std::vector<std::string> services{"single"};
     for (std::size_t shard = 0; shard < m_layout.shards; ++shard)
         services.push_back("shard-" + std::to_string(shard));
@@ -240,8 +241,10 @@
         for (const request_id id : answered->ids) {
             const auto pending = m_peerRequests.at(id.value);
             m_peerRequests.erase(id.value);
-            schedule(2ms, [this, pending, outcome = answered->answer] {
-                post(pending.first, store_call_ended{pending.second, outcome});
+            schedule(2ms, [this, pending, outcome = answered->answer, era = answered->era] {
+                post(pending.first,
+                     store_call_ended{pending.second, outcome,
+                                      era > 0 ? std::optional(era) : std::nullopt});
             });
         }
     } else if (const auto *log = std::get_if<write_log>(&action)) {
@@ -265,6 +268,29 @@
     notifyWatches();
 }
 
+void relay_simulation::saveStore()
+{
+    m_savedRevision = m_revision;
+    m_savedObjects = m_objects;
+}
+
+void relay_simulation::restoreStore()
+{
+    ++m_era;
+    m_revision = m_savedRevision;
+    m_objects = m_savedObjects;
+    for (const auto &waiting : std::exchange(m_watches, {})) {
+        if (!std::exchange(waiting->done, true))
+            post(waiting->host, store_call_ended{waiting->call, store_failure::NoAnswer});
+    }
+}
+
+store_call_ended relay_simulation::ended(const store_call &call,
+                                         std::variant<store_answer, store_failure> outcome) const
+{
+    return {call, std::move(outcome), m_era > 0 ? std::optional(m_era) : std::nullopt};
+}
+
 void relay_simulation::registerServer(const registered_server &entry)
 {
     m_objects[{static_cast<int>(store_object_kind::Servers), entry.id.value}] = {
@@ -321,7 +347,13 @@
     if (list != nullptr) {
         store_answer answer{objects(call.kind, 0), false, m_revision};
         std::erase_if(answer.objects, [](const store_object &each) { return each.removed; });
-        schedule(4ms, [this, host, call, answer] { post(host, store_call_ended{call, answer}); });
+        schedule(4ms, [this, host, result = ended(call, answer)] { post(host, result); });
+        return;
+    }
+    if (std::get<watch_call>(call.how).revision > m_revision) {
+        schedule(4ms, [this, host, result = ended(call, store_failure::HistoryGone)] {
+            post(host, result);
+        });
         return;
     }
     auto waiting = std::make_shared<watch>(watch{host, call});
@@ -329,7 +361,7 @@
     schedule(std::get<watch_call>(call.how).wait, [this, waiting] {
         if (std::exchange(waiting->done, true))
             return;
-        post(waiting->host, store_call_ended{waiting->call, store_answer{{}, false, m_revision}});
+        post(waiting->host, ended(waiting->call, store_answer{{}, false, m_revision}));
     });
     notifyWatches();
 }
@@ -345,10 +377,11 @@
         if (changes.empty())
             continue;
         waiting->done = true;
-        schedule(4ms, [this, waiting, changes, revision = m_revision] {
-            post(waiting->host,
-                 store_call_ended{waiting->call, store_answer{changes, false, revision}});
-        });
+        schedule(4ms,
+                 [this, host = waiting->host,
+                  result = ended(waiting->call, store_answer{changes, false, m_revision})] {
+                     post(host, result);
+                 });
     }
 }
 
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -75,6 +75,8 @@
     std::chrono::milliseconds singleWork{60};
     execution_semantics singleRepeats = execution_semantics::Idempotent;
     std::uint64_t seed = 1;
+    /// Era that the store states at first; 0 for none.
+    std::uint64_t storeEra = 0;
     relay_settings settings{};
 };
 
@@ -103,6 +105,11 @@
     void publish(route_document document);
     /// Adds or replaces a server's registration in the store.
     void registerServer(const registered_server &entry);
+    /// Saves a copy of the store for `restoreStore`.
+    void saveStore();
+    /// Replaces the store by the saved copy, which begins a new era. Watches in progress are cut
+    /// off.
+    void restoreStore();
     /// Removes a server's registration from the store.
     void unregister(const server_id &id);
     /// Returns the route document of the layout with the given version.
@@ -162,6 +169,9 @@
     void callPeer(std::size_t host, const store_call &call);
     std::vector<store_object> objects(store_object_kind kind, std::uint64_t after) const;
     void notifyWatches();
+    /// Result of a store call, with the era if the store states one.
+    store_call_ended ended(const store_call &call,
+                           std::variant<store_answer, store_failure> outcome) const;
     void callLeaf(std::size_t host, const send_to_leaf &action);
     void arrive(std::size_t host, const send_to_leaf &action, simulated_leaf &server);
     void startNext(simulated_leaf &server);
@@ -183,6 +193,10 @@
     std::vector<simulated_host> m_hosts;
     std::vector<std::shared_ptr<watch>> m_watches;
     std::map<std::pair<int, std::string>, store_object> m_objects;
+    std::uint64_t m_savedRevision = 0;
+    std::map<std::pair<int, std::string>, store_object> m_savedObjects;
+    /// Era of the store; it states none while this is 0.
+    std::uint64_t m_era = 0;
     std::set<std::uint64_t> m_cancelled;
     std::uint64_t m_lastPeerRequest = 0;
     std::map<std::uint64_t, std::pair<std::size_t, store_call>> m_peerRequests;
--- a/tests/relay/store_watcher_test.cpp
+++ b/tests/relay/store_watcher_test.cpp
@@ -24,6 +24,16 @@
     CPPUNIT_TEST(hostsIgnoreOlderRoutes);
     CPPUNIT_TEST(missingRegistrationsStayUsableForTwoSeconds);
     CPPUNIT_TEST(leavingServerReceivesNoNewRequests);
+    CPPUNIT_TEST(laterEraListsAgain);
+    CPPUNIT_TEST(failureOfALaterEraListsAgain);
+    CPPUNIT_TEST(answersOfAnEarlierEraAreRejected);
+    CPPUNIT_TEST(pagesOfTwoErasAreListedAgain);
+    CPPUNIT_TEST(eraSeenElsewhereAbandonsTheWatch);
+    CPPUNIT_TEST(eraSeenElsewhereKeepsTheFirstList);
+    CPPUNIT_TEST(hostsStartWhileTheStoreStatesAnEra);
+    CPPUNIT_TEST(changesWithReusedRevisionsReachAllHosts);
+    CPPUNIT_TEST(routesAndDeparturesSurviveAnOlderCopy);
+    CPPUNIT_TEST(routesRewrittenUnderTheSameVersionAreAdopted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -223,6 +233,167 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t{10}, each.parts());
     }
 
+    /// Guards against changes that are missed because the store gives out revisions again.
+    void laterEraListsAgain()
+    {
+        answer(nextCall(), {{{"a", 1, false, {}}}, false, 6}, 1);
+        CPPUNIT_ASSERT(!answer(nextCall(), {{{"b", 7, false, {}}}, false, 7}, 2).has_value());
+        CPPUNIT_ASSERT(m_watcher.hasListed());
+        const store_call call = nextCall();
+        CPPUNIT_ASSERT_EQUAL(std::string(), std::get<list_call>(call.how).after);
+        const auto update = answer(call, {{{"b", 3, false, {}}}, false, 4}, 2);
+        CPPUNIT_ASSERT(update.has_value() && update->isComplete);
+        const store_call next = nextCall();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, std::get<watch_call>(next.how).revision);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, std::get<watch_call>(next.how).era);
+    }
+
+    /// Guards against a watch that goes on in the earlier era after a refusal that stated a later
+    /// one.
+    void failureOfALaterEraListsAgain()
+    {
+        answer(nextCall(), {{}, false, 6}, 1);
+        const store_call call = nextCall();
+        CPPUNIT_ASSERT(
+            !m_watcher.onCallFinished({call, store_failure::Unavailable, 2}, m_now, m_random)
+                 .has_value());
+        CPPUNIT_ASSERT(std::holds_alternative<list_call>(nextCall().how));
+    }
+
+    /// Guards against objects that go back to those of an earlier era.
+    void answersOfAnEarlierEraAreRejected()
+    {
+        answer(nextCall(), {{}, false, 6}, 2);
+        for (const std::optional<std::uint64_t> era : {std::optional<std::uint64_t>(1), {}}) {
+            CPPUNIT_ASSERT(!answer(nextCall(), {{{"a", 9, false, {}}}, false, 9}, era).has_value());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, m_watcher.revision());
+            CPPUNIT_ASSERT(m_watcher.failures() > 0);
+        }
+        CPPUNIT_ASSERT(answer(nextCall(), {{{"a", 7, false, {}}}, false, 7}, 2).has_value());
+    }
+
+    /// Guards against a list that mixes objects of two eras.
+    void pagesOfTwoErasAreListedAgain()
+    {
+        answer(nextCall(), {{{"a", 1, false, {}}}, true, 5}, 1);
+        CPPUNIT_ASSERT(!answer(nextCall(), {{{"b", 2, false, {}}}, false, 6}, 2).has_value());
+        CPPUNIT_ASSERT(!m_watcher.hasListed());
+        const store_call call = nextCall();
+        CPPUNIT_ASSERT_EQUAL(std::string(), std::get<list_call>(call.how).after);
+        const auto update = answer(call, {{{"b", 2, false, {}}}, false, 6}, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, update->objects.size());
+    }
+
+    /// Guards against a host that learns of a restore for one kind of object and waits for the end
+    /// of the watch of the other kind.
+    void eraSeenElsewhereAbandonsTheWatch()
+    {
+        answer(nextCall(), {{}, false, 6}, 1);
+        const store_call abandoned = nextCall();
+        m_watcher.onEra(2, m_now);
+        CPPUNIT_ASSERT(std::holds_alternative<list_call>(nextCall().how));
+        CPPUNIT_ASSERT(!answer(abandoned, {{{"a", 7, false, {}}}, false, 7}, 1).has_value());
+    }
+
+    /// Guards against a second list call of each host of a fleet that starts, or none at all.
+    void eraSeenElsewhereKeepsTheFirstList()
+    {
+        const store_call call = nextCall();
+        m_watcher.onEra(1, m_now);
+        CPPUNIT_ASSERT(!m_watcher.nextDeadline().has_value());
+        CPPUNIT_ASSERT(answer(call, {{{"a", 1, false, {}}}, false, 5}, 1).has_value());
+    }
+
+    /// Guards against hosts that never list the servers, because they learn the era from the
+    /// routes.
+    void hostsStartWhileTheStoreStatesAnEra()
+    {
+        simulation_layout layout;
+        layout.storeEra = 4;
+        relay_simulation world(layout);
+        world.runUntil(3s);
+        for (std::size_t host = 0; host < 6; ++host)
+            CPPUNIT_ASSERT(world.status(host).ready);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             world.logLines["the store was restored from an older copy"]);
+    }
+
+    /// Guards against hosts that miss the changes whose revisions they have already seen before the
+    /// restore, directly and through hosts that read the store for others.
+    void changesWithReusedRevisionsReachAllHosts()
+    {
+        for (const std::size_t hosts : {6U, 40U}) {
+            simulation_layout layout;
+            layout.hosts = hosts;
+            relay_simulation world(layout);
+            world.at(5s, [&world] { world.saveStore(); });
+            world.at(6s, [&world] {
+                for (int version = 2; version < 8; ++version)
+                    world.publish(world.document(static_cast<std::uint64_t>(version)));
+            });
+            world.at(10s, [&world] {
+                world.restoreStore();
+                registered_server leaving = world.leafOf("shard-0", 0).entry;
+                leaving.leaving = true;
+                world.registerServer(leaving);
+                for (int version = 8; version < 14; ++version)
+                    world.publish(world.document(static_cast<std::uint64_t>(version)));
+            });
+            world.load("/all/", 4s, 18s, 20ms);
+            world.runUntil(20s);
+            for (std::size_t host = 0; host < hosts; ++host)
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{13}, world.status(host).routesVersion);
+            CPPUNIT_ASSERT(world.leafOf("shard-0", 0).arrivals.back() <= world.now() - 20s + 13s);
+            for (const simulated_request &each : world.requests)
+                CPPUNIT_ASSERT_EQUAL(200, each.status());
+        }
+    }
+
+    /// Guards against routes and departures that go back because an older copy does not have them.
+    void routesAndDeparturesSurviveAnOlderCopy()
+    {
+        relay_simulation world({});
+        world.at(3s, [&world] { world.saveStore(); });
+        world.at(4s, [&world] {
+            world.publish(world.document(2));
+            registered_server leaving = world.leafOf("shard-0", 0).entry;
+            leaving.leaving = true;
+            world.registerServer(leaving);
+        });
+        world.at(8s, [&world] { world.restoreStore(); });
+        world.load("/all/", 2s, 14s, 20ms);
+        world.runUntil(15s);
+        for (std::size_t host = 0; host < 6; ++host)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, world.status(host).routesVersion);
+        CPPUNIT_ASSERT(world.leafOf("shard-0", 0).arrivals.back() <= world.now() - 15s + 5s);
+        CPPUNIT_ASSERT(world.logLines["the store was restored from an older copy"] >= 6);
+        for (const simulated_request &each : world.requests)
+            CPPUNIT_ASSERT_EQUAL(200, each.status());
+    }
+
+    /// Guards against hosts that keep the content of a version that the operators wrote otherwise
+    /// after the restore.
+    void routesRewrittenUnderTheSameVersionAreAdopted()
+    {
+        relay_simulation world({});
+        world.at(3s, [&world] { world.saveStore(); });
+        world.at(4s, [&world] { world.publish(world.document(2)); });
+        world.at(8s, [&world] {
+            world.restoreStore();
+            const route_document written = world.document(2);
+            std::vector<route> routes = written.routes();
+            routes.push_back(routes.back());
+            routes.back().name = "added";
+            routes.back().prefix = "/added/";
+            world.publish(
+                route_document::create(2, routes, written.services(), written.limits()).value());
+        });
+        world.runUntil(12s);
+        const std::size_t request = world.send(0, "/added/x");
+        world.runUntil(14s);
+        CPPUNIT_ASSERT_EQUAL(200, world.requests[request].status());
+    }
+
 private:
     store_call nextCall()
     {
@@ -234,9 +405,10 @@
         CPPUNIT_ASSERT(!m_watcher.nextDeadline().has_value());
         return std::get<call_store>(effects[0]).call;
     }
-    std::optional<store_update> answer(const store_call &call, store_answer content)
+    std::optional<store_update> answer(const store_call &call, store_answer content,
+                                       std::optional<std::uint64_t> era = {})
     {
-        return m_watcher.onCallFinished({call, std::move(content)}, m_now, m_random);
+        return m_watcher.onCallFinished({call, std::move(content), era}, m_now, m_random);
     }
     void fail(const store_call &call, store_failure reason)
     {
