Decode and log the request rates that servers accept

Observability for the incident of requests over a server's limit: a server in need names in its answers the requests a second that it takes from all hosts together. The limit, its changes and its end are logged with the number of hosts that share it; malformed ones are counted and logged, and leave the earlier limit in force. Nothing is decided by it yet.

--- a/src/relay/leaf.cpp
+++ b/src/relay/leaf.cpp
@@ -25,6 +25,7 @@
         m_consecutiveLosses = 0;
         m_leaving = false;
         m_pausedUntil = {};
+        m_rateLimit.reset();
     }
     m_leaving = m_leaving || entry.leaving;
     m_entry = std::move(entry);
--- a/src/relay/leaf.h
+++ b/src/relay/leaf.h
@@ -82,6 +82,12 @@
     /// Whether the server asked to receive no requests now.
     bool isPaused(time_point now) const { return now < m_pausedUntil; }
 
+    /// Records the requests a second that the server accepts from all hosts together; empty if it
+    /// named no limit in its latest answer.
+    void onRateLimit(std::optional<double> perSecond) { m_rateLimit = perSecond; }
+    /// Requests a second that the server accepts from all hosts together; empty if not limited.
+    std::optional<double> rateLimit() const { return m_rateLimit; }
+
     /// Records a request that was sent and is expected to be answered within `expected`.
     void onSent(attempt_id attempt, duration expected, time_point now);
     /// Records an answer. `slowness` is its processing time as a multiple of the usual one. `late`
@@ -168,6 +174,7 @@
     time_point m_backoffUntil;
     bool m_leaving = false;
     time_point m_pausedUntil{};
+    std::optional<double> m_rateLimit;
     std::optional<time_point> m_lastAnswer;
     std::uint32_t m_consecutiveLosses = 0;
     std::uint32_t m_ejections = 0;
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -250,6 +251,40 @@
                    {"pause_ms", fmt::to_string(reply.pause->count())}});
 }
 
+void relay_dispatch::recordRateLimit(leaf &server, const leaf_reply &reply)
+{
+    const std::optional<double> before = server.rateLimit();
+    if (reply.isRateLimitMalformed) {
+        m_effects.emplace_back(count_metric{"relay_server_limits_malformed_total", 1});
+        appendLog(m_effects, log_level::Warning,
+                  "a backend server named a limit that cannot be read",
+                  {{"server", server.entry().id.value},
+                   {"limit_in_force", before ? fmt::format("{:.1f}", *before) : "none"}});
+        return;
+    }
+    if (reply.rateLimit == before)
+        return;
+    server.onRateLimit(reply.rateLimit);
+    if (!before.has_value())
+        m_effects.emplace_back(count_metric{"relay_server_limits_total", 1});
+    // A limit may change with every answer; small changes are not logged.
+    constexpr double loggedChange = 0.1;
+    if (before.has_value() && reply.rateLimit.has_value()
+        && std::abs(*reply.rateLimit - *before) < loggedChange * *before)
+        return;
+    std::string message = "a backend server named a limit";
+    if (!reply.rateLimit.has_value())
+        message = "a backend server withdrew its limit";
+    else if (before.has_value())
+        message = "a backend server changed its limit";
+    appendLog(m_effects, log_level::Info, std::move(message),
+              {{"server", server.entry().id.value},
+               {"service", server.entry().service.value},
+               {"limit_per_s",
+                fmt::format("{:.1f}", reply.rateLimit.has_value() ? *reply.rateLimit : *before)},
+               {"hosts", fmt::to_string(m_parts.requests.hosts)}});
+}
+
 void relay_dispatch::recordReply(const relay_attempt &attempt, attempt_id id,
                                  const leaf_reply &reply)
 {
@@ -260,6 +295,7 @@
         server.onNoResponse(id, m_now);
         return;
     }
+    recordRateLimit(server, reply);
     if (reply.notRun) {
         server.onRefusal(id, m_now);
         return;
--- a/src/relay/relay_dispatch.h
+++ b/src/relay/relay_dispatch.h
@@ -91,6 +91,7 @@
     void advance(request_id id, Step step);
     relay_attempt removeAttempt(attempt_id id, bool &found);
     void recordAnnouncements(leaf &server, const leaf_reply &reply);
+    void recordRateLimit(leaf &server, const leaf_reply &reply);
     void recordReply(const relay_attempt &attempt, attempt_id id, const leaf_reply &reply);
     void sendWaitingParts(const service_id &service);
     void cancelAbandoned();
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -65,6 +65,11 @@
     bool leaving = false;
     /// Time for which the server asked to receive no requests; empty if it did not.
     std::optional<std::chrono::milliseconds> pause{};
+    /// Requests a second that the server accepts from all hosts together; empty if it named no
+    /// limit that could be read.
+    std::optional<double> rateLimit{};
+    /// Whether the server named a limit that could not be read.
+    bool isRateLimitMalformed = false;
 
     /// Whether the status is 2xx and the request was run.
     bool isSuccess() const { return status >= 200 && status < 300 && !notRun; }
--- a/tests/platform/platform_wire_test.cpp
+++ b/tests/platform/platform_wire_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(missingOrInvalidDeadlineIsIgnored);
     CPPUNIT_TEST(leafRepliesAreClassifiedByStatusAndFields);
     CPPUNIT_TEST(announcementsOfServersAreParsed);
+    CPPUNIT_TEST(rateLimitsOfServersAreParsed);
     CPPUNIT_TEST(leafReplyKeepsStatusBodyAndEndToEndFields);
     CPPUNIT_TEST(mergedAnswersAndRefusalsAreFormatted);
     CPPUNIT_TEST(storeCallsAreFormattedAsRequestLines);
@@ -109,6 +110,30 @@
         CPPUNIT_ASSERT(!failed.notRun && !failed.isSuccess());
     }
 
+    /// Guards against a limit that is overlooked, and against one that a malformed field lifts.
+    void rateLimitsOfServersAreParsed()
+    {
+        const auto parse = [this](const std::string &status, const std::string &fields) {
+            return m_wire.readLeafReply(parseResponse("HTTP/1.1 " + status + "\r\n" + fields
+                                                      + "Content-Length: 0\r\n\r\n"));
+        };
+        for (const std::string status : {"200 OK", "500 x", "503 x"}) {
+            const auto reply = parse(status, "Server-Limit: 30.4\r\n");
+            CPPUNIT_ASSERT(reply.rateLimit == 30.4);
+            CPPUNIT_ASSERT(!reply.isRateLimitMalformed);
+        }
+        CPPUNIT_ASSERT(parse("200 OK", "Server-Limit: 0\r\n").rateLimit == 0.0);
+        for (const char *value : {"", "-1", "many", "nan", "inf"}) {
+            const auto reply = parse("200 OK", std::string("Server-Limit: ") + value + "\r\n");
+            CPPUNIT_ASSERT_MESSAGE(value, !reply.rateLimit.has_value());
+            CPPUNIT_ASSERT_MESSAGE(value, reply.isRateLimitMalformed);
+        }
+        const auto other = parse("421 x", "Server-Limit: 3\r\n");
+        CPPUNIT_ASSERT(!other.rateLimit.has_value() && !other.isRateLimitMalformed);
+        const auto none = parse("200 OK", "");
+        CPPUNIT_ASSERT(!none.rateLimit.has_value() && !none.isRateLimitMalformed);
+    }
+
     /// Guards against announcements that are missed, or taken from another server or from a field
     /// that does not have the form of the protocol.
     void announcementsOfServersAreParsed()
