--- a/tests/relay/load_pattern_test.cpp
+++ b/tests/relay/load_pattern_test.cpp
@@ -11,28 +11,6 @@
 using namespace std::chrono_literals;
 using fault_kind = simulated_leaf::fault_kind;
 
-/// Share of the requests from index `from` that are answered with status 200 within `limitMs`.
-/// Asserts that each of them is answered.
-double servedWithin(const relay_simulation &simulation, double limitMs, std::size_t from = 0)
-{
-    std::size_t served = 0;
-    for (std::size_t i = from; i < simulation.requests.size(); ++i) {
-        const simulated_request &each = simulation.requests[i];
-        CPPUNIT_ASSERT_MESSAGE(each.callerId + " is not answered", each.answered.has_value());
-        served += each.status() == 200 && each.latencyMs() <= limitMs ? 1 : 0;
-    }
-    return static_cast<double>(served) / static_cast<double>(simulation.requests.size() - from);
-}
-
-/// Mean share of the shards whose part is in the answer, over all requests.
-double coverage(const relay_simulation &simulation, std::size_t shards)
-{
-    double sum = 0;
-    for (const simulated_request &each : simulation.requests)
-        sum += static_cast<double>(each.parts()) / static_cast<double>(shards);
-    return sum / static_cast<double>(simulation.requests.size());
-}
-
 /// Number of requests that arrived at the servers of `service` from `from` until before `to`.
 std::size_t arrivalsAt(const relay_simulation &simulation, const std::string &service,
                        time_point from, time_point to)
@@ -41,9 +19,7 @@
     for (const auto &[id, server] : simulation.leaves) {
         if (server.entry.service.value != service)
             continue;
-        count += static_cast<std::size_t>(
-            std::count_if(server.arrivals.begin(), server.arrivals.end(),
-                          [from, to](time_point at) { return at >= from && at < to; }));
+        count += arrivalsBetween(server, from, to);
     }
     return count;
 }
@@ -572,13 +548,6 @@
     }
 
 private:
-    static std::size_t arrivalsBetween(const simulated_leaf &server, time_point from, time_point to)
-    {
-        return static_cast<std::size_t>(
-            std::count_if(server.arrivals.begin(), server.arrivals.end(),
-                          [from, to](time_point at) { return at >= from && at < to; }));
-    }
-
     /// Applies the fault to one of three servers from 4 s to 9 s and checks latency and coverage.
     static void checkFault(fault_kind fault)
     {
--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -48,6 +48,32 @@
     return merged == nullptr ? 0 : merged->signatures.size();
 }
 
+double servedWithin(const relay_simulation &simulation, double limitMs, std::size_t from)
+{
+    std::size_t served = 0;
+    for (std::size_t i = from; i < simulation.requests.size(); ++i) {
+        const simulated_request &each = simulation.requests[i];
+        CPPUNIT_ASSERT_MESSAGE(each.callerId + " is not answered", each.answered.has_value());
+        served += each.status() == 200 && each.latencyMs() <= limitMs ? 1 : 0;
+    }
+    return static_cast<double>(served) / static_cast<double>(simulation.requests.size() - from);
+}
+
+double coverage(const relay_simulation &simulation, std::size_t shards)
+{
+    double sum = 0;
+    for (const simulated_request &each : simulation.requests)
+        sum += static_cast<double>(each.parts()) / static_cast<double>(shards);
+    return sum / static_cast<double>(simulation.requests.size());
+}
+
+std::size_t arrivalsBetween(const simulated_leaf &server, time_point from, time_point to)
+{
+    return static_cast<std::size_t>(
+        std::count_if(server.arrivals.begin(), server.arrivals.end(),
+                      [from, to](time_point at) { return at >= from && at < to; }));
+}
+
 relay_simulation::relay_simulation(simulation_layout layout)
     : m_layout(std::move(layout)), m_random(m_layout.seed), m_now(m_start + 1h)
 {
@@ -430,6 +456,7 @@
         refused.notRun = true;
         refused.pause = server.pause;
         refused.leaving = server.announcesLeaving;
+        refused.rateLimit = server.rateLimit;
         reply(host, action.attempt, oneWayDelay, refused);
         return;
     }
@@ -452,6 +479,7 @@
                 return;
             }
             content.leaving = server.announcesLeaving;
+            content.rateLimit = server.rateLimit;
             if (server.fault == fault_kind::FailsAll)
                 content.status = 500;
             if (server.fault != fault_kind::Silent)
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -32,6 +32,9 @@
     bool announcesLeaving = false;
     /// Time without requests that the server asks for when it refuses one.
     std::optional<std::chrono::milliseconds> pause;
+    /// Requests a second from all hosts that the server names as its limit in its answers. It
+    /// answers further ones all the same.
+    std::optional<double> rateLimit;
     /// Share of the requests that the server refuses without running them, 0..1.
     double refusalRate = 0;
     /// Share of the replies that are lost after the request has run, 0..1.
@@ -202,4 +205,12 @@
     std::map<std::uint64_t, std::pair<std::size_t, store_call>> m_peerRequests;
 };
 
+/// Share of the requests from index `from` that are answered with status 200 within `limitMs`.
+/// Asserts that each of them is answered.
+double servedWithin(const relay_simulation &simulation, double limitMs, std::size_t from = 0);
+/// Mean share of the shards whose part is in the answer, over all requests.
+double coverage(const relay_simulation &simulation, std::size_t shards);
+/// Number of requests that arrived at the server from `from` until before `to`.
+std::size_t arrivalsBetween(const simulated_leaf &server, time_point from, time_point to);
+
 } // namespace waxwing::relay
