Share the request rate that a server accepts among the hosts

Cause: a server's statement about all hosts was read by none of them, and a host alone cannot keep it. Class: a limit over the fleet that is not divided among the hosts. Ruled out by the logs: hosts that do not know (all six know within 0.7 s).

Change: each host has a turn every hosts / limit seconds, spread by a random phase; unused turns expire after 1.5 s. A server without a turn counts as full; waiting parts are sent when the turn begins; what the servers will not take within the longest wait is refused at once.

Without the expiry, the random phase, the timer for turns or the estimate of room, one to three tests fail.

--- a/src/relay/leaf.cpp
+++ b/src/relay/leaf.cpp
@@ -25,7 +25,7 @@
         m_consecutiveLosses = 0;
         m_leaving = false;
         m_pausedUntil = {};
-        m_rateLimit.reset();
+        m_rateShare.reset();
     }
     m_leaving = m_leaving || entry.leaving;
     m_entry = std::move(entry);
@@ -33,12 +33,36 @@
     unlistedSince.reset();
 }
 
+void leaf::onRateLimit(std::optional<double> perSecond, double phase, time_point now)
+{
+    if (!perSecond.has_value())
+        m_rateShare.reset();
+    else if (m_rateShare.has_value())
+        m_rateShare->update(*perSecond, m_hosts, now);
+    else
+        m_rateShare.emplace(m_settings.rateLimits, *perSecond, m_hosts, phase, now);
+}
+
+std::optional<double> leaf::rateLimit() const
+{
+    return m_rateShare.has_value() ? std::optional(m_rateShare->limit()) : std::nullopt;
+}
+
+void leaf::setHosts(std::size_t hosts, time_point now)
+{
+    m_hosts = hosts;
+    if (m_rateShare.has_value())
+        m_rateShare->update(m_rateShare->limit(), hosts, now);
+}
+
 void leaf::onSent(attempt_id attempt, duration expected, time_point now)
 {
     const auto stallTime = std::chrono::duration_cast<duration>(expected * m_settings.stallFactor
                                                                 * std::max(1.0, slowness(now)));
     m_outstanding.push_back(
         {attempt, now, now + std::max<duration>(stallTime, m_settings.minStallTime)});
+    if (m_rateShare.has_value())
+        m_rateShare->take(now);
 }
 
 void leaf::onAnswer(attempt_id attempt, double slowness, bool late, time_point now)
@@ -133,7 +157,7 @@
 {
     if (isLeaving())
         return std::nullopt;
-    return std::max({now, m_pausedUntil, m_ejectedUntil.value_or(now)});
+    return std::max({turnAt(now), m_pausedUntil, m_ejectedUntil.value_or(now)});
 }
 
 double leaf::slowness(time_point now) const
--- a/src/relay/leaf.h
+++ b/src/relay/leaf.h
@@ -2,6 +2,7 @@
 
 #include "backends/concurrency_limit.h"
 #include "core/clock.h"
+#include "relay/rate_limit_share.h"
 #include "relay/relay_types.h"
 
 #include <algorithm>
@@ -56,6 +57,8 @@
     /// Exceeds the latency and cost of another region, since a retry uses up the service's budget
     /// of extra requests.
     std::chrono::milliseconds failureCost{300};
+    /// Division of a limit that the server names among the hosts.
+    rate_limit_share_settings rateLimits{};
 
     bool operator==(const leaf_settings &) const = default;
 };
@@ -84,9 +87,28 @@
 
     /// Records the requests a second that the server accepts from all hosts together; empty if it
     /// named no limit in its latest answer.
-    void onRateLimit(std::optional<double> perSecond) { m_rateLimit = perSecond; }
+    /// `phase` is used if it named none before; see `rate_limit_share`.
+    void onRateLimit(std::optional<double> perSecond, double phase, time_point now);
     /// Requests a second that the server accepts from all hosts together; empty if not limited.
-    std::optional<double> rateLimit() const { return m_rateLimit; }
+    std::optional<double> rateLimit() const;
+    /// Sets the number of hosts that share a limit.
+    void setHosts(std::size_t hosts, time_point now);
+    /// Whether the limit that the server named, if any, allows a request of this host now.
+    bool hasTurn(time_point now) const
+    {
+        return !m_rateShare.has_value() || m_rateShare->isAvailable(now);
+    }
+    /// Earliest time at which the limit allows a request of this host, at least `now`.
+    time_point turnAt(time_point now) const
+    {
+        return m_rateShare.has_value() ? m_rateShare->availableAt(now) : now;
+    }
+    /// Number of requests from this host that the server accepts until `until`. For a server
+    /// without a limit, as many as are in progress; it usually answers about that many in time.
+    std::size_t roomUntil(time_point now, time_point until) const
+    {
+        return m_rateShare.has_value() ? m_rateShare->countUntil(now, until) : inFlight();
+    }
 
     /// Records a request that was sent and is expected to be answered within `expected`.
     void onSent(attempt_id attempt, duration expected, time_point now);
@@ -116,13 +138,14 @@
     /// Whether the server receives no requests because it failed. After the ejection time it may
     /// receive one trial request at a time.
     bool isEjected(time_point now) const;
-    /// Whether the server can receive a request now, unless it is at its limit.
+    /// Whether the server can receive a request now, unless it is at its limit of requests in
+    /// progress or has to wait for its turn.
     bool isUsable(time_point now) const
     {
         return !isLeaving() && !isPaused(now) && !isEjected(now);
     }
-    /// Earliest time at which a server that is not usable may receive a request, at least `now`;
-    /// empty if it is leaving.
+    /// Earliest time at which the server may receive a request, unless it is at its limit of
+    /// requests in progress; at least `now`. Empty if it is leaving.
     std::optional<time_point> usableAt(time_point now) const;
     /// Whether the server replied to any request, even with an error or refusal, at `since` or
     /// later.
@@ -174,7 +197,9 @@
     time_point m_backoffUntil;
     bool m_leaving = false;
     time_point m_pausedUntil{};
-    std::optional<double> m_rateLimit;
+    std::size_t m_hosts = 1;
+    /// Share of this host in the limit that the server named; empty if it named none.
+    std::optional<rate_limit_share> m_rateShare;
     std::optional<time_point> m_lastAnswer;
     std::uint32_t m_consecutiveLosses = 0;
     std::uint32_t m_ejections = 0;
--- a/src/relay/leaf_pool.cpp
+++ b/src/relay/leaf_pool.cpp
@@ -35,6 +35,7 @@
     const auto known = m_servers.find(entry.id);
     if (known == m_servers.end()) {
         auto created = std::make_shared<leaf>(m_settings.leaves, std::move(entry), now);
+        created->setHosts(m_hosts, now);
         const auto departed = m_departed.find(created->entry().id);
         if (departed != m_departed.end() && departed->second == created->entry().startedAt)
             created->onLeaving();
@@ -103,10 +104,13 @@
     m_removalAt = earliest;
 }
 
-void leaf_pool::setConnections(std::size_t hosts, std::map<service_id, std::uint32_t> limits)
+void leaf_pool::setConnections(std::size_t hosts, std::map<service_id, std::uint32_t> limits,
+                               time_point now)
 {
     m_hosts = std::max<std::size_t>(hosts, 1);
     m_connectionLimits = std::move(limits);
+    for (const auto &[id, server] : m_servers)
+        server->setHosts(m_hosts, now);
 }
 
 void leaf_pool::removeFromService(const std::shared_ptr<leaf> &server)
@@ -154,7 +158,7 @@
         result.cost += m_settings.otherRegionCost;
         break;
     }
-    if (candidate->inFlight() >= requestLimit(*candidate))
+    if (candidate->inFlight() >= requestLimit(*candidate) || !candidate->hasTurn(now))
         result.state = rating::state_kind::Full;
     else if (candidate->unlistedSince.has_value())
         result.state = rating::state_kind::Unlisted;
@@ -200,15 +204,35 @@
                        [now](const std::shared_ptr<leaf> &each) { return each->isUsable(now); });
 }
 
-std::size_t leaf_pool::inFlight(const service_id &service) const
+std::size_t leaf_pool::roomUntil(const service_id &service, time_point now, time_point until) const
+{
+    std::size_t room = 0;
+    bool hasUnlimited = false;
+    const auto known = m_services.find(service);
+    if (known == m_services.end())
+        return room;
+    for (const std::shared_ptr<leaf> &each : known->second) {
+        const bool isLimited = each->rateLimit().has_value();
+        if (!isLimited || each->isUsable(now))
+            room += each->roomUntil(now, until);
+        hasUnlimited = hasUnlimited || (!isLimited && each->isUsable(now));
+    }
+    return room + (hasUnlimited ? 1 : 0);
+}
+
+std::optional<time_point> leaf_pool::nextTurnAt(const service_id &service, time_point now) const
 {
-    std::size_t count = 0;
+    std::optional<time_point> earliest;
     const auto known = m_services.find(service);
     if (known == m_services.end())
-        return count;
-    for (const std::shared_ptr<leaf> &each : known->second)
-        count += each->inFlight();
-    return count;
+        return earliest;
+    for (const std::shared_ptr<leaf> &each : known->second) {
+        if (!each->isUsable(now) || each->hasTurn(now))
+            continue;
+        const time_point at = each->turnAt(now);
+        earliest = std::min(earliest.value_or(at), at);
+    }
+    return earliest;
 }
 
 std::optional<time_point> leaf_pool::usableAt(const service_id &service, time_point now) const
@@ -218,7 +242,8 @@
     if (known == m_services.end())
         return earliest;
     for (const std::shared_ptr<leaf> &each : known->second) {
-        const auto at = each->isUsable(now) ? std::nullopt : each->usableAt(now);
+        const bool isReady = each->isUsable(now) && each->hasTurn(now);
+        const auto at = isReady ? std::nullopt : each->usableAt(now);
         if (at.has_value())
             earliest = std::min(earliest.value_or(*at), *at);
     }
--- a/src/relay/leaf_pool.h
+++ b/src/relay/leaf_pool.h
@@ -42,7 +42,8 @@
     enum class result_kind {
         /// `server` can receive the request.
         Found,
-        /// Every usable server has reached its limit of requests in progress.
+        /// Every usable server has reached its limit of requests in progress or has to wait for its
+        /// turn.
         Full,
         /// Every server is ejected, paused, leaving or was tried before, or the service has none.
         None,
@@ -81,9 +82,10 @@
     std::vector<endpoint> removeUnlisted(time_point now);
     /// When `removeUnlisted` is due next; empty if every server is registered.
     std::optional<time_point> nextRemoval() const { return m_removalAt; }
-    /// Sets the number of hosts that share the connections, and the connection limit per server of
-    /// each service.
-    void setConnections(std::size_t hosts, std::map<service_id, std::uint32_t> limits);
+    /// Sets the number of hosts that share connections and rate limits, and the connection limit
+    /// per server of each service.
+    void setConnections(std::size_t hosts, std::map<service_id, std::uint32_t> limits,
+                        time_point now);
 
     /// Chooses the server with the lowest expected time and cost that is not in `tried`.
     /// `processingTime` is the usual processing time of the request.
@@ -92,11 +94,15 @@
     /// Whether the service has a server that is neither leaving, paused nor ejected. It may be at
     /// its limit.
     bool isServed(const service_id &service, time_point now) const;
-    /// Number of requests from this host in progress on the servers of the service.
-    std::size_t inFlight(const service_id &service) const;
-    /// Earliest time at which an ejected or paused server of the service may receive a request, at
-    /// least `now`; empty if there is none.
+    /// Number of requests from this host that the servers of the service can take until `until`.
+    /// One more is added to the requests in progress on servers without a rate limit.
+    std::size_t roomUntil(const service_id &service, time_point now, time_point until) const;
+    /// Earliest time at which an ejected or paused server of the service, or one that has to wait
+    /// for its turn, may receive a request, at least `now`; empty if there is none.
     std::optional<time_point> usableAt(const service_id &service, time_point now) const;
+    /// When the next server of the service that waits for its turn may receive a request; empty if
+    /// there is none.
+    std::optional<time_point> nextTurnAt(const service_id &service, time_point now) const;
     /// Ids of all servers, including unregistered ones.
     std::vector<server_id> ids() const;
     /// Number of servers, including unregistered ones.
--- a/src/relay/relay_context.cpp
+++ b/src/relay/relay_context.cpp
@@ -15,6 +15,18 @@
     return entry->second;
 }
 
+void relay_requests::scheduleTurn(const service_id &service, time_point now)
+{
+    const auto at = leaves.nextTurnAt(service, now);
+    if (!at.has_value())
+        return;
+    const auto [known, isNew] = nextTurns.try_emplace(service, *at);
+    if (!isNew && known->second <= *at)
+        return;
+    known->second = *at;
+    turns.emplace(*at, service);
+}
+
 waiting_part queueEntry(const pending_request &request, std::size_t index)
 {
     return {request.target->rank, request.queueDeadline, request.id, index};
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -26,6 +26,9 @@
 
     /// Returns the hedge and retry budget of a service; creates it on first use.
     extra_request_budget &budgetOf(const service_id &service);
+    /// Schedules the next attempt to send waiting parts of the service if one of its servers waits
+    /// for its turn. Other servers are tried when a request to the service ends.
+    void scheduleTurn(const service_id &service, time_point now);
 
     /// Time, and the number of the request or attempt.
     using timer = std::pair<time_point, std::uint64_t>;
@@ -52,6 +55,10 @@
     waiting_part_queue waiting;
     /// Timers of requests. An entry is valid only if its time equals `pending_request::timerAt`.
     earliest_first<timer> timers;
+    /// When waiting parts of a service are tried again. An entry is valid only if its time equals
+    /// that in `nextTurns`.
+    earliest_first<std::pair<time_point, service_id>> turns;
+    absl::flat_hash_map<service_id, time_point> nextTurns;
     /// When attempts whose request was answered without them are cancelled.
     earliest_first<timer> abandoned;
 };
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -63,6 +63,7 @@
     m_parts.members.onTick(m_context);
     m_parts.peerAnswers.onTick(m_now, m_effects);
     cancelAbandoned();
+    sendPartsInTurn();
     store_update_handler(m_parts, m_now, m_effects).removeUnlisted();
     while (!requests.timers.empty() && requests.timers.top().first <= m_now) {
         const auto [at, id] = requests.timers.top();
@@ -76,6 +77,8 @@
 void relay_dispatch::operator()(const started &start)
 {
     m_parts.random.seed(start.randomSeed);
+    constexpr std::uint32_t phases = 1000;
+    m_parts.turnPhase = static_cast<double>(m_parts.random(phases)) / phases;
     m_parts.members.start(m_context, start.self, start.seeds);
     m_parts.routes.start(m_now);
     m_parts.servers.start(m_now);
@@ -264,7 +267,7 @@
     }
     if (reply.rateLimit == before)
         return;
-    server.onRateLimit(reply.rateLimit);
+    server.onRateLimit(reply.rateLimit, m_parts.turnPhase, m_now);
     if (!before.has_value())
         m_effects.emplace_back(count_metric{"relay_server_limits_total", 1});
     // A limit may change with every answer; small changes are not logged.
@@ -376,8 +379,24 @@
         bool sent = false;
         advance(next->request,
                 [&](request_progress &request) { sent = request.trySendWaiting(next->part); });
-        if (!sent)
+        if (!sent) {
+            requests.scheduleTurn(service, m_now);
             return;
+        }
+    }
+}
+
+void relay_dispatch::sendPartsInTurn()
+{
+    relay_requests &requests = m_parts.requests;
+    while (!requests.turns.empty() && requests.turns.top().first <= m_now) {
+        const auto [at, service] = requests.turns.top();
+        requests.turns.pop();
+        const auto next = requests.nextTurns.find(service);
+        if (next == requests.nextTurns.end() || next->second != at)
+            continue;
+        requests.nextTurns.erase(next);
+        sendWaitingParts(service);
     }
 }
 
@@ -464,7 +483,7 @@
         for (const routed_service &service : requests.document->services())
             limits.emplace(service.id, service.connectionLimit);
     }
-    requests.leaves.setConnections(requests.hosts, std::move(limits));
+    requests.leaves.setConnections(requests.hosts, std::move(limits), m_now);
     if (requests.hosts == hostsBefore)
         return;
     appendLog(m_effects, log_level::Info, "hosts share connections and budgets",
--- a/src/relay/relay_dispatch.h
+++ b/src/relay/relay_dispatch.h
@@ -20,6 +20,9 @@
     relay_settings settings;
     /// Seeded by the `started` event.
     random_engine random;
+    /// Part of a period, from 0 to 1, after which this host's first turn at a server that names a
+    /// limit begins. The same for all servers, so that a fan-out finds its shards ready together.
+    double turnPhase = 0;
     /// Number of the latest attempt.
     std::uint64_t lastAttempt = 0;
     relay_requests requests;
@@ -94,6 +97,7 @@
     void recordRateLimit(leaf &server, const leaf_reply &reply);
     void recordReply(const relay_attempt &attempt, attempt_id id, const leaf_reply &reply);
     void sendWaitingParts(const service_id &service);
+    void sendPartsInTurn();
     void cancelAbandoned();
     void applyMembers();
     void appendSharedEffects();
--- a/src/relay/relay_reducer.cpp
+++ b/src/relay/relay_reducer.cpp
@@ -27,6 +27,8 @@
     const relay_requests &requests = m_parts->requests;
     if (!requests.timers.empty())
         consider(requests.timers.top().first);
+    if (!requests.turns.empty())
+        consider(requests.turns.top().first);
     if (!requests.abandoned.empty())
         consider(requests.abandoned.top().first);
     consider(requests.leaves.nextRemoval());
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -147,6 +147,7 @@
     part.step = step_kind::Waiting;
     part.hedgeAt.reset();
     m_state.waiting.add(part.service, queueEntry(m_request, index));
+    m_state.scheduleTurn(part.service, m_context.now);
 }
 
 bool request_progress::trySendWaiting(std::size_t index)
@@ -403,10 +404,9 @@
 
 bool request_progress::isOverloaded(const service_id &service) const
 {
-    // Only parts that are served before this request count. About as many queued parts as there are
-    // attempts in progress can be served within the longest queue time of a request.
+    // Only parts that are served before this request count.
     return m_state.waiting.countAhead(service, m_request.target->rank)
-        > m_state.leaves.inFlight(service);
+        >= m_state.leaves.roomUntil(service, m_context.now, m_request.queueDeadline);
 }
 
 bool request_progress::isCoverageSufficient(std::size_t shards) const
--- a/tests/relay/leaf_pool_test.cpp
+++ b/tests/relay/leaf_pool_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(departureAnnouncedInAnAnswerIsFinalUntilRestart);
     CPPUNIT_TEST(departureIsRememberedAfterTheServerIsRemoved);
     CPPUNIT_TEST(pausedServerIsNotChosenUntilThePauseEnds);
+    CPPUNIT_TEST(serverWithALimitIsFullUntilTheNextTurn);
     CPPUNIT_TEST(unlistedServerIsChosenOnlyWithoutRegisteredOnes);
     CPPUNIT_TEST(serverThatRejectsConnectionsIsNotEjected);
     CPPUNIT_TEST(slownessRisesAfterSlowServerButNotAfterPause);
@@ -87,7 +88,7 @@
     /// Guards against connections that a server resets because all hosts together open too many.
     void serverAtConnectionShareIsFull()
     {
-        m_pool.setConnections(7, {{{"s"}, 25}});
+        m_pool.setConnections(7, {{{"s"}, 25}}, m_now);
         leaf_pool::leaf_list others;
         const auto local = choose().server;
         raiseLimits();
@@ -103,7 +104,7 @@
             third.server->onSent({i}, 10ms, m_now);
         CPPUNIT_ASSERT(choose().result == result_kind::Full);
         // With more hosts than connections, each host may still send one request.
-        m_pool.setConnections(500, {{{"s"}, 25}});
+        m_pool.setConnections(500, {{{"s"}, 25}}, m_now);
         local->onCancel({1});
         local->onCancel({2});
         local->onCancel({3});
@@ -172,6 +173,38 @@
         CPPUNIT_ASSERT(choose().server == server);
     }
 
+    /// Guards against requests beyond the limit of a server, and against a restarted server that is
+    /// still limited.
+    void serverWithALimitIsFullUntilTheNextTurn()
+    {
+        m_pool.setConnections(6, {{{"s"}, 25}}, m_now);
+        const auto server = choose().server;
+        server->onRateLimit(12, 0, m_now);
+        server->onSent({1}, 10ms, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), choose().server->entry().id.value);
+        for (const char *zone : {"near", "far"})
+            m_pool.markUnlisted({zone}, m_now);
+        m_now += 5s;
+        m_pool.removeUnlisted(m_now);
+        server->onAnswer({1}, 1, false, m_now);
+        server->onSent({2}, 10ms, m_now);
+        server->onSent({3}, 10ms, m_now);
+        server->onSent({4}, 10ms, m_now);
+        CPPUNIT_ASSERT(choose().result == result_kind::Full);
+        CPPUNIT_ASSERT(m_pool.isServed({"s"}, m_now));
+        CPPUNIT_ASSERT(m_pool.nextTurnAt({"s"}, m_now) == m_now + 500ms);
+        CPPUNIT_ASSERT(m_pool.usableAt({"s"}, m_now) == m_now + 500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_pool.roomUntil({"s"}, m_now, m_now + 1s));
+        for (const attempt_id each : {attempt_id{2}, attempt_id{3}, attempt_id{4}})
+            server->onAnswer(each, 1, false, m_now);
+        CPPUNIT_ASSERT(choose().result == result_kind::Full);
+        registered_server restarted = entryOf("here");
+        restarted.startedAt = 2;
+        m_pool.put(restarted, m_now);
+        CPPUNIT_ASSERT(choose().result == result_kind::Found);
+        CPPUNIT_ASSERT(!m_pool.nextTurnAt({"s"}, m_now).has_value());
+    }
+
     /// Guards against a host without usable servers when registrations expire during an outage of
     /// the store.
     void unlistedServerIsChosenOnlyWithoutRegisteredOnes()
--- a/tests/relay/rate_limit_test.cpp
+++ b/tests/relay/rate_limit_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(unusedSharesDoNotAddUpToABurst);
     CPPUNIT_TEST(fanOutsBeyondTheLimitsAreRefusedAtOnce);
     CPPUNIT_TEST(requestsOfALimitedServiceWaitForTheirTurn);
+    CPPUNIT_TEST(malformedLimitKeepsTheOneBefore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -149,25 +150,41 @@
                                static_cast<double>(served) >= 0.45 * static_cast<double>(all));
     }
 
-    /// Guards against requests that are refused although a server may take them within their
-    /// longest wait, and against requests that wait until another event comes by. One host may
-    /// send a request every 50 ms.
+    /// Guards against requests that are refused, or wait until another event comes by, although the
+    /// host has a turn within their longest wait of 100 ms.
     void requestsOfALimitedServiceWaitForTheirTurn()
     {
         simulation_layout layout;
         layout.hosts = 1;
+        layout.slots = 16;
         layout.singleWork = 5ms;
         relay_simulation simulation(layout);
-        for (std::size_t zone = 0; zone < zones; ++zone) {
-            simulation.leafOf("single", zone).rateLimit = 20.0 / 3;
+        for (std::size_t zone = 1; zone < zones; ++zone)
+            simulation.unregister(simulation.leafOf("single", zone).entry.id);
+        simulation.leafOf("single", 0).rateLimit = 12;
+        simulation.at(3s, [&simulation] { simulation.send(0, "/one/first"); });
+        // Eighteen turns are open after a pause of 1.5 s; the last request waits for up to 83 ms.
+        for (auto at = 5000ms; at < 17s; at += 2000ms) {
+            for (int i = 0; i < 19; ++i)
+                simulation.at(at, [&simulation] { simulation.send(0, "/one/x"); });
         }
-        // Two requests at a time; the second one waits for about 50 ms of the 100 ms it may.
-        for (auto at = 3000ms; at < 6000ms; at += 200ms) {
-            simulation.at(at, [&simulation] { simulation.send(0, "/one/x"); });
-            simulation.at(at, [&simulation] { simulation.send(0, "/one/x"); });
-        }
-        simulation.runUntil(8s);
-        CPPUNIT_ASSERT(servedWithin(simulation, 400) >= 0.9);
+        simulation.runUntil(18s);
+        CPPUNIT_ASSERT_EQUAL(1.0, servedWithin(simulation, 400));
+    }
+
+    /// Guards against a limit that ends because a later answer names one that cannot be read.
+    void malformedLimitKeepsTheOneBefore()
+    {
+        relay_simulation simulation({});
+        const time_point start = simulation.now();
+        limitRate(simulation, "shard-0", 0, 30, 4s, 16s);
+        simulation.at(
+            6s, [&simulation] { simulation.leafOf("shard-0", 0).isRateLimitMalformed = true; });
+        simulation.load("/all/", 2s, 16s, 5500us);
+        simulation.runUntil(18s);
+        checkRate(simulation.leafOf("shard-0", 0), 30, start + 4s + noticeTime, start + 16s);
+        CPPUNIT_ASSERT(simulation.logLines["a backend server named a limit that cannot be read"]
+                       > 0);
     }
 };
 
--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -31,6 +31,13 @@
     return host * 1'000'000'000ULL + attempt.value;
 }
 
+void stateRateLimit(const simulated_leaf &server, leaf_reply &reply)
+{
+    reply.isRateLimitMalformed = server.isRateLimitMalformed;
+    if (!server.isRateLimitMalformed)
+        reply.rateLimit = server.rateLimit;
+}
+
 } // namespace
 
 int simulated_request::status() const
@@ -456,7 +463,7 @@
         refused.notRun = true;
         refused.pause = server.pause;
         refused.leaving = server.announcesLeaving;
-        refused.rateLimit = server.rateLimit;
+        stateRateLimit(server, refused);
         reply(host, action.attempt, oneWayDelay, refused);
         return;
     }
@@ -479,7 +486,7 @@
                 return;
             }
             content.leaving = server.announcesLeaving;
-            content.rateLimit = server.rateLimit;
+            stateRateLimit(server, content);
             if (server.fault == fault_kind::FailsAll)
                 content.status = 500;
             if (server.fault != fault_kind::Silent)
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -35,6 +35,8 @@
     /// Requests a second from all hosts that the server names as its limit in its answers. It
     /// answers further ones all the same.
     std::optional<double> rateLimit;
+    /// Whether the limit in the answers cannot be read.
+    bool isRateLimitMalformed = false;
     /// Share of the requests that the server refuses without running them, 0..1.
     double refusalRate = 0;
     /// Share of the replies that are lost after the request has run, 0..1.
