Log when a host loses contact with all backend servers

Observability for the incident of hosts without their servers. Evidence: no answer of any server for 80 ms, and three or more servers that accepted no connection, did not answer in time, or whose answer is overdue. Nothing is decided by it yet.

--- a/src/relay/leaf_pool.cpp
+++ b/src/relay/leaf_pool.cpp
@@ -250,6 +250,16 @@
     return earliest;
 }
 
+std::vector<server_id> leaf_pool::stalledServers(time_point now) const
+{
+    std::vector<server_id> result;
+    for (const auto &[id, server] : m_servers) {
+        if (server->isStalled(now))
+            result.push_back(id);
+    }
+    return result;
+}
+
 std::vector<server_id> leaf_pool::ids() const
 {
     std::vector<server_id> result;
--- a/src/relay/leaf_pool.h
+++ b/src/relay/leaf_pool.h
@@ -103,6 +103,8 @@
     /// When the next server of the service that waits for its turn may receive a request; empty if
     /// there is none.
     std::optional<time_point> nextTurnAt(const service_id &service, time_point now) const;
+    /// Servers whose answer to a request is overdue.
+    std::vector<server_id> stalledServers(time_point now) const;
     /// Ids of all servers, including unregistered ones.
     std::vector<server_id> ids() const;
     /// Number of servers, including unregistered ones.
--- a/src/relay/relay_context.cpp
+++ b/src/relay/relay_context.cpp
@@ -3,7 +3,7 @@
 namespace waxwing::relay {
 
 relay_requests::relay_requests(const relay_settings &values, zone_latencies zoneLatencies)
-    : settings(values), leaves(values.leaves, std::move(zoneLatencies)),
+    : settings(values), leaves(values.leaves, std::move(zoneLatencies)), contact(values.contact),
       quarantine(values.quarantine)
 { }
 
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -42,6 +42,7 @@
     /// Latencies measured on each route, by the name of the route.
     std::map<std::string, std::shared_ptr<route_statistics>, std::less<>> routeStatistics;
     leaf_pool leaves;
+    server_contact contact;
     /// Hedge and retry budgets by service.
     absl::flat_hash_map<service_id, extra_request_budget> budgets;
     /// Requests that are refused because they crashed backend servers.
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -58,6 +58,7 @@
 void relay_dispatch::operator()(const tick & /*due*/)
 {
     relay_requests &requests = m_parts.requests;
+    checkContact();
     m_parts.routes.onTick(m_now, m_effects);
     m_parts.servers.onTick(m_now, m_effects);
     m_parts.members.onTick(m_context);
@@ -146,6 +147,7 @@
 
 void relay_dispatch::start(const request_received &received, const route &target)
 {
+    checkContact();
     relay_requests &requests = m_parts.requests;
     const request_settings &settings = m_parts.settings.requests;
     std::shared_ptr<route_statistics> &statistics = requests.routeStatistics[target.name];
@@ -254,6 +256,40 @@
                    {"pause_ms", fmt::to_string(reply.pause->count())}});
 }
 
+void relay_dispatch::recordNoResponse(leaf &server, attempt_id id)
+{
+    server.onNoResponse(id, m_now);
+    m_parts.requests.contact.onNoResponse(server.entry().id);
+}
+
+void relay_dispatch::recordContact()
+{
+    const auto lostFor = m_parts.requests.contact.onAnswer(m_now);
+    if (!lostFor.has_value())
+        return;
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(*lostFor);
+    appendLog(m_effects, log_level::Info, "regained contact with backend servers",
+              {{"lost_for_ms", fmt::to_string(time.count())}});
+}
+
+void relay_dispatch::checkContact()
+{
+    relay_requests &requests = m_parts.requests;
+    if (requests.contact.isLost() || !requests.contact.isQuiet(m_now))
+        return;
+    const std::vector<server_id> overdue = requests.leaves.stalledServers(m_now);
+    if (!requests.contact.check(overdue, m_now))
+        return;
+    const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+        requests.contact.timeSinceAnswer(m_now));
+    m_effects.emplace_back(count_metric{"relay_server_contact_lost_total", 1});
+    appendLog(m_effects, log_level::Warning, "lost contact with backend servers",
+              {{"no_answer_ms", fmt::to_string(silence.count())},
+               {"overdue_servers", fmt::to_string(overdue.size())},
+               {"servers", fmt::to_string(requests.leaves.size())},
+               {"requests", fmt::to_string(requests.inProgress.size())}});
+}
+
 void relay_dispatch::recordRateLimit(leaf &server, const leaf_reply &reply)
 {
     const std::optional<double> before = server.rateLimit();
@@ -293,6 +329,7 @@
 {
     relay_requests &requests = m_parts.requests;
     leaf &server = *attempt.server;
+    recordContact();
     recordAnnouncements(server, reply);
     if (reply.otherServer) {
         server.onNoResponse(id, m_now);
@@ -343,7 +380,7 @@
     leaf &server = *attempt.server;
     switch (failed.reason) {
     case leaf_failure::NotSent:
-        server.onNoResponse(failed.attempt, m_now);
+        recordNoResponse(server, failed.attempt);
         break;
     case leaf_failure::DeadlinePassed:
         server.onCancel(failed.attempt);
@@ -359,6 +396,7 @@
                                                      server.entry().id, attempt.sent, m_now);
         break;
     case leaf_failure::Malformed:
+        recordContact();
         server.onError(failed.attempt, m_now);
         break;
     }
@@ -416,7 +454,7 @@
         if (server.hasAnsweredSince(attempt.sent))
             server.onAnswer(id, m_parts.settings.leaves.leaves.maxSlowness, true, m_now);
         else
-            server.onNoResponse(id, m_now);
+            recordNoResponse(server, id);
         freed.insert(server.entry().service);
         m_effects.emplace_back(cancel_attempt{id});
         m_effects.emplace_back(count_metric{"relay_attempts_given_up_total", 1});
--- a/src/relay/relay_dispatch.h
+++ b/src/relay/relay_dispatch.h
@@ -95,6 +95,9 @@
     relay_attempt removeAttempt(attempt_id id, bool &found);
     void recordAnnouncements(leaf &server, const leaf_reply &reply);
     void recordRateLimit(leaf &server, const leaf_reply &reply);
+    void recordNoResponse(leaf &server, attempt_id id);
+    void recordContact();
+    void checkContact();
     void recordReply(const relay_attempt &attempt, attempt_id id, const leaf_reply &reply);
     void sendWaitingParts(const service_id &service);
     void sendPartsInTurn();
--- a/src/relay/relay_reducer.cpp
+++ b/src/relay/relay_reducer.cpp
@@ -51,6 +51,7 @@
     result.storeEra = std::max(m_parts->routes.era(), m_parts->servers.era());
     result.routesVersion = requests.document ? requests.document->version() : 0;
     result.servers = requests.leaves.size();
+    result.hasServerContact = !requests.contact.isLost();
     result.hosts = requests.hosts;
     result.requests = requests.inProgress.size();
     return result;
--- a/src/relay/relay_reducer.h
+++ b/src/relay/relay_reducer.h
@@ -23,6 +23,8 @@
     std::uint64_t storeEra = 0;
     /// Number of backend servers in the pool.
     std::size_t servers = 0;
+    /// Whether the host reaches backend servers, as far as it knows.
+    bool hasServerContact = true;
     /// Number of relay hosts, including this one.
     std::size_t hosts = 0;
     /// Number of requests in progress.
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -4,6 +4,7 @@
 #include "quarantine/request_quarantine.h"
 #include "relay/extra_request_budget.h"
 #include "relay/leaf_pool.h"
+#include "relay/server_contact.h"
 #include "relay/store_roles.h"
 #include "relay/store_watcher.h"
 
@@ -77,6 +78,8 @@
     std::map<zone_id, std::string> regions;
     request_settings requests;
     leaf_pool_settings leaves;
+    /// Detection of a host that reaches no server.
+    server_contact_settings contact;
     /// Budget for hedges and retries.
     extra_request_budget_settings extras;
     /// Calls to the store.
--- /dev/null
+++ b/src/relay/server_contact.cpp
@@ -0,0 +1,27 @@
+#include "relay/server_contact.h"
+
+#include <utility>
+
+namespace waxwing::relay {
+
+std::optional<duration> server_contact::onAnswer(time_point now)
+{
+    m_lastAnswer = now;
+    m_silent.clear();
+    const auto since = std::exchange(m_lostSince, std::nullopt);
+    return since.has_value() ? std::optional(now - *since) : std::nullopt;
+}
+
+bool server_contact::check(const std::vector<server_id> &overdue, time_point now)
+{
+    if (isLost() || !isQuiet(now))
+        return false;
+    std::set<server_id> servers(overdue.begin(), overdue.end());
+    servers.insert(m_silent.begin(), m_silent.end());
+    if (servers.size() < m_settings.minServers)
+        return false;
+    m_lostSince = now;
+    return true;
+}
+
+} // namespace waxwing::relay
--- /dev/null
+++ b/tests/relay/server_contact_test.cpp
@@ -0,0 +1,73 @@
+#include "relay/server_contact.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace waxwing::relay {
+namespace {
+
+using namespace std::chrono_literals;
+
+class server_contact_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(server_contact_test);
+    CPPUNIT_TEST(threeServersWithoutResponseAreEvidence);
+    CPPUNIT_TEST(overdueServersAreEvidence);
+    CPPUNIT_TEST(answersOfOthersAreCounterEvidence);
+    CPPUNIT_TEST(firstAnswerEndsTheLoss);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a host that does not notice that it reaches no server, and against one that
+    /// notices it twice.
+    void threeServersWithoutResponseAreEvidence()
+    {
+        m_contact.onAnswer(m_now);
+        m_now += 1s;
+        for (const char *server : {"a", "b", "a"})
+            m_contact.onNoResponse({server});
+        CPPUNIT_ASSERT(!m_contact.check({}, m_now));
+        m_contact.onNoResponse({"c"});
+        CPPUNIT_ASSERT(m_contact.check({}, m_now));
+        CPPUNIT_ASSERT(m_contact.isLost());
+        CPPUNIT_ASSERT(!m_contact.check({}, m_now));
+    }
+
+    /// Guards against a host that waits until its connections time out.
+    void overdueServersAreEvidence()
+    {
+        m_contact.onAnswer(m_now);
+        CPPUNIT_ASSERT(!m_contact.check({{"a"}, {"b"}, {"c"}}, m_now + 79ms));
+        CPPUNIT_ASSERT(!m_contact.check({{"a"}, {"b"}}, m_now + 80ms));
+        CPPUNIT_ASSERT(m_contact.check({{"a"}, {"b"}, {"c"}}, m_now + 80ms));
+    }
+
+    /// Guards against servers that failed at different times, while others answered, and that
+    /// together look like a loss of contact when traffic stops.
+    void answersOfOthersAreCounterEvidence()
+    {
+        for (const char *server : {"a", "b", "c", "d"}) {
+            m_contact.onNoResponse({server});
+            m_contact.onAnswer(m_now);
+        }
+        CPPUNIT_ASSERT(!m_contact.check({}, m_now + 10s));
+    }
+
+    /// Guards against a host that goes on to believe that it reaches no server.
+    void firstAnswerEndsTheLoss()
+    {
+        m_contact.check({{"a"}, {"b"}, {"c"}}, m_now);
+        CPPUNIT_ASSERT(m_contact.isLost());
+        CPPUNIT_ASSERT(m_contact.onAnswer(m_now + 2s) == 2s);
+        CPPUNIT_ASSERT(!m_contact.isLost());
+        CPPUNIT_ASSERT(!m_contact.onAnswer(m_now + 3s).has_value());
+    }
+
+private:
+    server_contact m_contact{{}};
+    time_point m_now{1h};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(server_contact_test);
+
+} // namespace
+} // namespace waxwing::relay
