--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -436,6 +436,12 @@
 {
     simulated_leaf &server = leaves.at(action.server);
     const duration oneWayDelay = networkDelay(host, server.entry.zone);
+    if (hostsWithoutServers.count(host) != 0)
+        return;
+    if (hostsRefusedByServers.count(host) != 0) {
+        fail(host, action.attempt, 2 * oneWayDelay, leaf_failure::NotSent);
+        return;
+    }
     if (server.fault == simulated_leaf::fault_kind::Down) {
         fail(host, action.attempt, 2 * oneWayDelay, leaf_failure::NotSent);
         return;
@@ -513,7 +519,8 @@
                              leaf_reply content)
 {
     schedule(oneWayDelay, [this, host, attempt, content = std::move(content)] {
-        if (m_cancelled.count(attemptKey(host, attempt)) == 0)
+        if (m_cancelled.count(attemptKey(host, attempt)) == 0
+            && hostsWithoutServers.count(host) == 0)
             post(host, leaf_answered{attempt, content});
     });
 }
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -140,6 +140,10 @@
     std::size_t peerCalls = 0;
     /// Indices of hosts that handle no events.
     std::set<std::size_t> stalledHosts;
+    /// Indices of hosts whose connections to all servers hang, new ones as well.
+    std::set<std::size_t> hostsWithoutServers;
+    /// Indices of hosts whose connections to all servers are refused.
+    std::set<std::size_t> hostsRefusedByServers;
 
 private:
     struct simulated_host
