--- a/src/relay_host/peer_server.h
+++ b/src/relay_host/peer_server.h
@@ -25,6 +25,8 @@
     void carryOut(const answer_peer &action);
     /// Answers a forwarded request.
     void carryOut(const answer_forwarded &action);
+    /// Address that the server is bound to.
+    endpoint localEndpoint() const { return m_server->localEndpoint(); }
 
 private:
     peer_server(const loop_clock &time, const wire_codec &codec, pass_profile &profile,
--- /dev/null
+++ b/tests/relay/forwarding_hosts_test.cpp
@@ -0,0 +1,105 @@
+#include "relay/forwarding_hosts.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace waxwing::relay {
+namespace {
+
+using namespace std::chrono_literals;
+
+class forwarding_hosts_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(forwarding_hosts_test);
+    CPPUNIT_TEST(nearestLivingHostIsChosen);
+    CPPUNIT_TEST(hostsThatCouldNotHelpAreNotAskedForAWhile);
+    CPPUNIT_TEST(hostThatHelpedIsPreferredInItsZone);
+    CPPUNIT_TEST(zoneWithoutHelpIsAvoided);
+    CPPUNIT_TEST(nobodyIsChosenIfAllWereTried);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        for (const char *zone : {"here", "near", "far"}) {
+            for (const char *number : {"1", "2", "3"})
+                add(std::string(zone) + number, zone);
+        }
+    }
+
+    /// Guards against requests that go to this host itself, to one that is gone or leaves, or to
+    /// another region without need.
+    void nearestLivingHostIsChosen()
+    {
+        m_members.at({"here2"}).state = member_state::Dead;
+        CPPUNIT_ASSERT_EQUAL(std::string("here3"), choose());
+        m_members.at({"here3"}).state = member_state::Leaving;
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), choose().substr(0, 4));
+    }
+
+    /// Guards against requests that are forwarded to a host again that just failed.
+    void hostsThatCouldNotHelpAreNotAskedForAWhile()
+    {
+        m_hosts.onUnable({"here2"}, m_now);
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::string("here3"), choose());
+        m_members.erase({"here3"});
+        m_now += 2s;
+        CPPUNIT_ASSERT_EQUAL(std::string("here2"), choose());
+    }
+
+    /// Guards against requests that try one host after the other although one is known to help.
+    void hostThatHelpedIsPreferredInItsZone()
+    {
+        m_hosts.onHelped({"here3"}, m_now);
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::string("here3"), choose());
+        CPPUNIT_ASSERT_EQUAL(std::string("here2"), choose({{"here3"}}));
+    }
+
+    /// Guards against requests that ask every host of a zone that is cut off as a whole.
+    void zoneWithoutHelpIsAvoided()
+    {
+        for (const char *host : {"here4", "here5", "here6"})
+            add(host, "here");
+        m_hosts.onUnable({"here2"}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("here"), choose().substr(0, 4));
+        m_hosts.onUnable({"here3"}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), choose().substr(0, 4));
+        m_hosts.onHelped({"here4"}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("here4"), choose());
+    }
+
+    /// Guards against a request that goes round in circles.
+    void nobodyIsChosenIfAllWereTried()
+    {
+        std::vector<host_id> tried;
+        for (std::string next = choose(); !next.empty(); next = choose(tried))
+            tried.push_back({next});
+        CPPUNIT_ASSERT_EQUAL(m_members.size() - 1, tried.size());
+    }
+
+private:
+    void add(const std::string &host, const std::string &zone)
+    {
+        m_members[{host}] = {{host}, {zone}, {}, {}, 1, member_state::Alive};
+    }
+    /// Name of the chosen host; empty if there is none.
+    std::string choose(const std::vector<host_id> &tried = {})
+    {
+        const auto chosen = m_hosts.choose(m_members, {"here1"}, tried, m_zones, m_random, m_now);
+        return chosen.has_value() ? chosen->host.value : std::string();
+    }
+
+    std::map<host_id, member> m_members;
+    forwarding_hosts m_hosts{{}};
+    zone_latencies m_zones{{"here"}, {{{"here"}, "a"}, {{"near"}, "a"}, {{"far"}, "b"}}};
+    random_engine m_random{1};
+    time_point m_now{1h};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(forwarding_hosts_test);
+
+} // namespace
+} // namespace waxwing::relay
