Wait for requests that were on their way before a host exits

Cause: if no request was in progress at the end of the notice, the exit was decided in the same pass in which connections were closed; bytes that waited in the sockets were read after it, and the loop ended 50 ms later.

Change: the process exits after 200 ms without a request in progress.

--- a/src/entry/stop_sequence.cpp
+++ b/src/entry/stop_sequence.cpp
@@ -1,5 +1,7 @@
 #include "entry/stop_sequence.h"
 
+#include <algorithm>
+
 namespace waxwing {
 
 stop_sequence::stop_sequence(std::chrono::milliseconds notice, std::chrono::milliseconds limit)
@@ -24,7 +26,11 @@
     }
     if (m_step != step_kind::Draining)
         return;
-    if (requestsInProgress != 0 && context.now < m_stepDeadline)
+    if (requestsInProgress != 0)
+        m_idleSince.reset();
+    else if (!m_idleSince.has_value())
+        m_idleSince = context.now;
+    if (context.now < *nextDeadline())
         return;
     if (requestsInProgress != 0)
         context.emit(write_log{{log_level::Warning,
@@ -36,8 +42,17 @@
 
 std::optional<time_point> stop_sequence::nextDeadline() const
 {
-    if (m_step == step_kind::Notice || m_step == step_kind::Draining)
+    switch (m_step) {
+    case step_kind::Notice:
         return m_stepDeadline;
+    case step_kind::Draining:
+        return m_idleSince.has_value()
+            ? std::min<time_point>(m_stepDeadline, *m_idleSince + idleTime)
+            : m_stepDeadline;
+    case step_kind::Running:
+    case step_kind::Exited:
+        break;
+    }
     return std::nullopt;
 }
 
--- a/src/entry/stop_sequence.h
+++ b/src/entry/stop_sequence.h
@@ -12,6 +12,10 @@
 class stop_sequence
 {
 public:
+    /// Time without requests in progress before the exit. Requests that arrived before the
+    /// connections of callers were closed are read within it.
+    static constexpr std::chrono::milliseconds idleTime{200};
+
     /// `notice` is the time during which new requests are still served, `limit` the longest wait
     /// for requests in progress after that.
     stop_sequence(std::chrono::milliseconds notice, std::chrono::milliseconds limit);
@@ -36,6 +40,8 @@
     std::chrono::milliseconds m_limit;
     step_kind m_step = step_kind::Running;
     time_point m_stepDeadline;
+    /// Since when no request is in progress while draining; empty while there is one.
+    std::optional<time_point> m_idleSince;
 };
 
 } // namespace waxwing
