End calls whose peer sends responses without end

The new test sends ten kinds of them. Heads, bodies, chunks and trailers without end were limited before; interim responses (102) and responses to earlier calls were dropped one by one for as long as they came, so only the time limit of the request ended the call. Now it fails as malformed after eight. The test failed before, on these two kinds.

--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -31,6 +31,8 @@
     std::optional<call> current;
     /// Whether the call in progress was written.
     bool written = false;
+    /// Responses that came before that to the call in progress and were dropped.
+    std::uint32_t dropped = 0;
     /// Whether it may serve a further call after the current one.
     bool reusable = true;
     /// When its opening began, and when it was opened.
@@ -101,6 +103,7 @@
     target.parser.restart(request.isHead);
     target.current = std::move(request);
     target.written = false;
+    target.dropped = 0;
     if (target.current->deadline.has_value() && !target.transport->isConnected())
         target.expires = std::min(target.expires, target.current->deadline->at);
     if (target.transport->isConnected())
@@ -174,13 +177,13 @@
 void client_pool::complete(connection &target, std::string_view rest)
 {
     raw_response response = target.parser.takeResponse();
-    if (response.content.status < firstFinalStatus) {
-        target.parser.restart(target.current->isHead);
-        return;
-    }
-    if (belongsToEarlierCall(target, response)) {
-        target.reusable = false;
-        target.parser.restart(target.current->isHead);
+    const bool isInterim = response.content.status < firstFinalStatus;
+    if (isInterim || belongsToEarlierCall(target, response)) {
+        target.reusable = target.reusable && isInterim;
+        if (++target.dropped > m_settings.maxDroppedResponses)
+            finish(target, call_failure::Malformed, false);
+        else
+            target.parser.restart(target.current->isHead);
         return;
     }
     target.proven = true;
--- a/src/http/client_pool.h
+++ b/src/http/client_pool.h
@@ -50,6 +50,9 @@
     /// Time beyond the way to the peer and back in which a reset of a new connection means that the
     /// peer did not accept it; shorter than the shortest work of a server.
     std::chrono::microseconds acceptMargin{1000};
+    /// Interim responses, and responses to earlier calls, that are dropped before the response to a
+    /// call. After more of them the call fails; a faulty peer may send them without end.
+    std::uint32_t maxDroppedResponses = 8;
     /// Detection of peers that have gone.
     stream_settings connections{};
 
--- a/tests/http/client_pool_test.cpp
+++ b/tests/http/client_pool_test.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace waxwing::http {
@@ -28,6 +29,7 @@
     CPPUNIT_TEST(closesAnIdleConnectionOnWhichBytesArrive);
     CPPUNIT_TEST(tellsAResponseWithoutLengthFromABrokenOne);
     CPPUNIT_TEST(reportsTruncatedAndMalformedResponses);
+    CPPUNIT_TEST(endsResponsesWithoutEnd);
     CPPUNIT_TEST(reportsThatNothingWasSent);
     CPPUNIT_TEST(doesNotReuseAConnectionWhoseRequestIsNotSentWhole);
     CPPUNIT_TEST(closesTheConnectionOfACancelledCall);
@@ -105,6 +107,41 @@
         CPPUNIT_ASSERT(failureOf(2) == call_failure::ConnectionLost);
     }
 
+    /// Guards against a call that reads on for as long as a faulty peer sends, in a header field,
+    /// in a body, or in responses that are not the one that is expected.
+    void endsResponsesWithoutEnd()
+    {
+        const std::string filler(20000, 'x');
+        const std::vector<std::pair<std::string, std::string>> endless = {
+            {"HTTP/1.1 200 OK\r\nX-A: ", filler},
+            {"HTTP/1.1 200 OK\r\n", "X-A: " + filler + "\r\n"},
+            {filler, filler},
+            {"HTTP/1.1 200 OK\r\n\r\n", filler},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n", filler},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4e20\r\n" + filler + "\r\n"},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=", filler},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+             "X-A: " + filler + "\r\n"},
+            {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+            {"", response("late", "X-Id: 0\r\n")},
+        };
+        for (std::size_t i = 0; i < endless.size(); ++i) {
+            const std::uint64_t id = i + 1;
+            send(id);
+            std::string bytes = endless[i].first;
+            // Twice the largest accepted message.
+            for (std::size_t sent = 0; sent < 600'000 && !m_outcomes.contains(id);
+                 sent += bytes.size(), bytes = endless[i].second) {
+                m_peer.write(i, bytes);
+                bool passed = false;
+                m_loop.runUntil([&passed] { return std::exchange(passed, true); });
+            }
+            CPPUNIT_ASSERT_MESSAGE("case " + std::to_string(i), m_outcomes.contains(id));
+            CPPUNIT_ASSERT(failureOf(id) == call_failure::Malformed);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_pool->connections(m_peer.address()));
+        }
+    }
+
     void reportsTruncatedAndMalformedResponses()
     {
         send(1);
