Confirm the loss of contact with servers after 20 ms

A host that was held up finds the answers of its servers overdue before it has read them; it could take its own silence for that of the servers and forward requests that are about to be answered. The evidence now has to last for 20 ms, in which waiting answers are read.

--- a/src/relay/relay_reducer.cpp
+++ b/src/relay/relay_reducer.cpp
@@ -27,6 +27,7 @@
     const relay_requests &requests = m_parts->requests;
     if (!requests.timers.empty())
         consider(requests.timers.top().first);
+    consider(requests.contact.nextCheck());
     if (!requests.turns.empty())
         consider(requests.turns.top().first);
     if (!requests.abandoned.empty())
--- a/src/relay/server_contact.cpp
+++ b/src/relay/server_contact.cpp
@@ -8,6 +8,7 @@
 {
     m_lastAnswer = now;
     m_silent.clear();
+    m_suspectedSince.reset();
     const auto since = std::exchange(m_lostSince, std::nullopt);
     return since.has_value() ? std::optional(now - *since) : std::nullopt;
 }
@@ -33,11 +34,24 @@
         return false;
     std::set<server_id> servers(overdue.begin(), overdue.end());
     servers.insert(m_silent.begin(), m_silent.end());
-    if (servers.size() < m_settings.minServers)
+    if (servers.size() < m_settings.minServers) {
+        m_suspectedSince.reset();
         return false;
+    }
+    if (!m_suspectedSince.has_value())
+        m_suspectedSince = now;
+    if (now - *m_suspectedSince < m_settings.confirmation)
+        return false;
+    m_suspectedSince.reset();
     m_lostSince = now;
     m_evidenceAt = now;
     return true;
 }
 
+std::optional<time_point> server_contact::nextCheck() const
+{
+    return m_suspectedSince.has_value() ? std::optional(*m_suspectedSince + m_settings.confirmation)
+                                        : std::nullopt;
+}
+
 } // namespace waxwing::relay
--- a/src/relay/server_contact.h
+++ b/src/relay/server_contact.h
@@ -20,6 +20,9 @@
     /// Number of servers that do not respond from which contact counts as lost. Fewer may have
     /// failed by themselves.
     std::size_t minServers = 3;
+    /// Time for which the evidence has to last. A host that was held up reads the answers that wait
+    /// in its sockets within it.
+    std::chrono::milliseconds confirmation{20};
     /// Time without further evidence after which servers are tried as usual.
     std::chrono::milliseconds evidenceValidity{3000};
 
@@ -47,6 +50,8 @@
     /// Evaluates the evidence. `overdue` are servers whose answer is overdue. Returns true if
     /// contact is found to be lost and was not before.
     bool check(const std::vector<server_id> &overdue, time_point now);
+    /// When evidence that was found is evaluated again; empty if there is none.
+    std::optional<time_point> nextCheck() const;
     /// Whether no server responds.
     bool isLost() const { return m_lostSince.has_value(); }
     /// Time since the latest answer.
@@ -57,6 +62,8 @@
     time_point m_lastAnswer{};
     /// Servers that did not respond since the latest answer of any server.
     std::set<server_id> m_silent;
+    /// When evidence was found that is not confirmed yet.
+    std::optional<time_point> m_suspectedSince;
     std::optional<time_point> m_lostSince;
     /// Latest evidence.
     time_point m_evidenceAt{};
