Forward no request that lost a connection, and try only cut-off servers

Found by reading the change: only fan-outs before their first part counted lost connections, so a single lookup that crashes servers could be forwarded once all servers of its service were down, and again after a host failed with it. While this host is in contact with servers, copies of forwarded requests now go only to services that are cut off, and not to servers that work.

--- a/src/relay/pending_request.h
+++ b/src/relay/pending_request.h
@@ -89,6 +89,8 @@
     std::size_t deferredParts = 0;
     /// Lost connections after which a part of a fan-out was scheduled for a retry.
     std::size_t lostConnections = 0;
+    /// Whether the connection of any attempt was lost.
+    bool hasLostConnection = false;
     /// Whether a server may have run a part of it.
     bool mayHaveRun = false;
     /// Hedges and retries that count against the budget.
--- a/src/relay/request_forwarding.cpp
+++ b/src/relay/request_forwarding.cpp
@@ -13,13 +13,10 @@
 /// answer.
 constexpr std::array<std::string_view, 4> unableCodes{"unavailable", "not_ready", "behind",
                                                       "no_route"};
-/// Refusals after which a server may have run the request.
-constexpr std::array<std::string_view, 2> unknownOutcomeCodes{"failed", "timeout"};
 
-template<std::size_t Size>
-bool contains(const std::array<std::string_view, Size> &codes, std::string_view code)
+bool meansUnable(std::string_view refusalCode)
 {
-    return std::find(codes.begin(), codes.end(), code) != codes.end();
+    return std::find(unableCodes.begin(), unableCodes.end(), refusalCode) != unableCodes.end();
 }
 
 } // namespace
@@ -49,7 +46,7 @@
         || m_context.now < m_request.statistics->forwardPausedUntil)
         return false;
     // A lost connection may mean that the request crashed its server.
-    if (m_request.lostConnections > 0)
+    if (m_request.hasLostConnection)
         return false;
     const bool mayHaveRun = m_request.mayHaveRunElsewhere || m_request.failure.has_value()
         || std::any_of(m_request.parts.begin(), m_request.parts.end(),
@@ -98,7 +95,9 @@
         // The first one that arrives ends the loss of contact.
         const bool isFree = m_state.contact.isLost();
         if (!isFree
-            && !m_state.budgetOf(service).spend(extra_request_kind::NeededRetry, m_context.now))
+            && (!m_state.leaves.isCutOff(service)
+                || !m_state.budgetOf(service).spend(extra_request_kind::NeededRetry,
+                                                    m_context.now)))
             continue;
         const attempt_id id{++m_context.lastAttempt};
         choice.server->onSent(id, choice.expected, m_context.now);
@@ -147,15 +146,12 @@
         return next_step::Answer;
     }
     note(host, fmt::format("refused: {}", refusalCode));
-    if (contains(unableCodes, refusalCode)) {
-        m_state.helpers.onUnable(host, m_context.now);
-        return next_step::TryNext;
-    }
-    if (contains(unknownOutcomeCodes, refusalCode)) {
-        m_request.mayHaveRunElsewhere = true;
-        return isIdempotent() ? next_step::TryNext : next_step::Answer;
-    }
-    return next_step::Answer;
+    // After any other refusal the request may have run, or failed for a reason that holds on all
+    // hosts.
+    if (!meansUnable(refusalCode))
+        return next_step::Answer;
+    m_state.helpers.onUnable(host, m_context.now);
+    return next_step::TryNext;
 }
 
 void request_forwarding::onFailure(leaf_failure reason)
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -394,6 +394,8 @@
 {
     const std::size_t index = attempt.part;
     relay_part &part = m_request.parts[index];
+    if (reason == leaf_failure::ConnectionLost)
+        m_request.hasLostConnection = true;
     if (part.step == step_kind::Answered || part.step == step_kind::Failed)
         return;
     if (reason == leaf_failure::NotSent || reason == leaf_failure::DeadlinePassed) {
--- a/tests/relay/forwarding_test.cpp
+++ b/tests/relay/forwarding_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(quietHostsWithoutServersServeTheirCallers);
     CPPUNIT_TEST(atMostOnceRequestsOfCutOffHostsRunOnce);
     CPPUNIT_TEST(hostsUseTheirServersAgainAfterTheCut);
+    CPPUNIT_TEST(requestsThatLoseConnectionsAreNotForwarded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,12 +122,7 @@
         loadBoth(simulation, 2s, 16s);
         simulation.runUntil(20s);
         CPPUNIT_ASSERT(servedAt(simulation, cut, start + 5s, start + 16s, 800) >= 0.98);
-        std::map<std::string, int> runs;
-        for (std::size_t zone = 0; zone < 3; ++zone) {
-            for (const auto &[id, count] : simulation.leafOf("single", zone).runs)
-                runs[id] += count;
-        }
-        for (const auto &[id, count] : runs)
+        for (const auto &[id, count] : runsOfSingle(simulation))
             CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 1, count);
     }
 
@@ -143,7 +139,30 @@
                              simulation.logLines["regained contact with backend servers"]);
     }
 
+    /// Guards against a request that crashes servers and is spread by hosts whose servers it
+    /// crashed already. All servers of the service lose the connection.
+    void requestsThatLoseConnectionsAreNotForwarded()
+    {
+        relay_simulation simulation({});
+        for (std::size_t zone = 0; zone < 3; ++zone)
+            simulation.leafOf("single", zone).fault = fault_kind::LosesAllReplies;
+        simulation.load("/one/", 2s, 6s, 20ms);
+        simulation.runUntil(10s);
+        for (const auto &[id, count] : runsOfSingle(simulation))
+            CPPUNIT_ASSERT_MESSAGE(id + " ran " + std::to_string(count) + " times", count <= 2);
+    }
+
 private:
+    /// Number of runs of each request on the servers of the service `single`.
+    static std::map<std::string, int> runsOfSingle(relay_simulation &simulation)
+    {
+        std::map<std::string, int> runs;
+        for (std::size_t zone = 0; zone < 3; ++zone) {
+            for (const auto &[id, count] : simulation.leafOf("single", zone).runs)
+                runs[id] += count;
+        }
+        return runs;
+    }
     static void loadBoth(relay_simulation &simulation, std::chrono::milliseconds from,
                          std::chrono::milliseconds to)
     {
