Forward only requests that no server can have run

Their servers had been asked by the first host, answered late or not, and by the host that the request was forwarded to as well.

Cause: attempts were counted by each host for itself. Change: a request is forwarded only while no server can have run it, and states how many servers of a shard it may still be sent to. A request that is copied to try servers has one less; that is done every 250 ms only. Requests that are in progress when contact is lost and may have run are no longer forwarded.

Lint finding in peer_server mended.

--- a/src/relay/pending_request.h
+++ b/src/relay/pending_request.h
@@ -98,6 +98,9 @@
     /// Host that forwarded the request; empty if it came from the caller. Such a request is not
     /// forwarded again.
     std::optional<forwarding_origin> origin;
+    /// Number of servers of a shard that the request may be sent to, by this host and the one that
+    /// it is forwarded to together.
+    std::uint32_t maxAttempts = 1;
     /// Set while another host works on the request.
     std::optional<forward_in_progress> forward;
     /// Hosts that the request was forwarded to, in order.
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -52,6 +52,8 @@
     std::size_t hosts = 1;
     /// Requests in progress, by the value of their id.
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<pending_request>> inProgress;
+    /// When servers may be tried again with a copy of a forwarded request.
+    time_point nextTrialAt{};
     /// Requests by the attempt with which another host works on them.
     absl::flat_hash_map<std::uint64_t, request_id> forwards;
     /// Attempts in progress, by the value of their id.
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -174,6 +174,9 @@
     pending->arrived = m_now;
     pending->readDelay = received.delay;
     pending->origin = received.origin;
+    pending->maxAttempts = received.origin.has_value()
+        ? std::min(received.origin->attempts, target.attempts)
+        : target.attempts;
     pending->contactCheckAt = m_now + settings.contactCheckInterval;
 
     const auto timeLeft = received.request->timeLeft.value_or(target.callerTimeout);
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -76,6 +76,8 @@
     std::chrono::milliseconds longestForwardPause{4000};
     /// Maximum number of servers that are tried again while a request is forwarded.
     std::size_t trialsPerForward = 3;
+    /// Minimum time between two forwarded requests with which servers are tried again.
+    std::chrono::milliseconds trialInterval{250};
     /// Maximum `Retry-After`, as a fraction of the caller's remaining time. Callers do not wait
     /// longer.
     double maxRetryAfterFraction = 0.33;
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -53,6 +53,8 @@
     host_id host;
     /// Version of its routes. A host with older routes does not answer the request.
     std::uint64_t routesVersion = 0;
+    /// Number of servers of a shard that the request may still be sent to.
+    std::uint32_t attempts = 1;
 
     bool operator==(const forwarding_origin &) const = default;
 };
--- a/src/relay/request_forwarding.cpp
+++ b/src/relay/request_forwarding.cpp
@@ -51,7 +51,9 @@
     const bool mayHaveRun = m_request.mayHaveRunElsewhere || m_request.failure.has_value()
         || std::any_of(m_request.parts.begin(), m_request.parts.end(),
                        [](const relay_part &part) { return part.runs > 0; });
-    return isIdempotent() || !mayHaveRun;
+    // The next host does not know which servers have run the request, and might send it to more of
+    // them than the route allows.
+    return !mayHaveRun;
 }
 
 bool request_forwarding::start()
@@ -70,17 +72,18 @@
     m_state.forwards.emplace(id.value, m_request.id);
     m_context.count("relay_requests_forwarded_total");
     note(helper->host, "asked");
-    m_context.emit(forward_request{id,
-                                   {m_context.members.self().host, m_request.document->version()},
-                                   helper->peer,
-                                   m_request.request,
-                                   m_request.deadline - zones.roundTrip(helper->zone)});
+    m_context.emit(forward_request{
+        id,
+        {m_context.members.self().host, m_request.document->version(), m_request.maxAttempts},
+        helper->peer,
+        m_request.request,
+        m_request.deadline - zones.roundTrip(helper->zone)});
     return true;
 }
 
 void request_forwarding::sendTrials()
 {
-    if (!isIdempotent())
+    if (!isIdempotent() || m_request.maxAttempts < 2 || m_context.now < m_state.nextTrialAt)
         return;
     const request_settings &settings = m_state.settings.requests;
     const std::size_t all = m_request.parts.size();
@@ -110,6 +113,10 @@
             send_to_leaf{id, entry.id, entry.address, m_request.request, m_request.deadline});
         ++sent;
     }
+    if (sent == 0)
+        return;
+    --m_request.maxAttempts;
+    m_state.nextTrialAt = m_context.now + settings.trialInterval;
 }
 
 host_id request_forwarding::endForward()
--- a/src/relay/request_forwarding.h
+++ b/src/relay/request_forwarding.h
@@ -32,8 +32,8 @@
     /// Forwards the request to the next host. Returns false if no host may be able to help.
     bool start();
     /// Sends copies of a request that is forwarded to some servers that are not known to fail now,
-    /// so that this host notices when it reaches them again. Requests that may run once only are
-    /// not copied.
+    /// so that this host notices when it reaches them again. The other host has one attempt less
+    /// for such a request, so only some requests are copied, and none that may run once only.
     void sendTrials();
     /// Records that no further host may be able to help. If this host reaches other servers, the
     /// servers are the cause, and requests of the route are not forwarded for a while.
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -44,7 +44,7 @@
 
 bool request_progress::hasAttemptsLeft(const relay_part &part) const
 {
-    return part.runs < (isIdempotent() ? m_request.target->attempts : 1)
+    return part.runs < (isIdempotent() ? m_request.maxAttempts : 1)
         && m_context.now < m_request.deadline;
 }
 
@@ -73,9 +73,11 @@
 
 bool request_progress::beginForwarded()
 {
-    if (!tryForward())
+    if (!m_forwarding.isPossible())
         return false;
     m_forwarding.sendTrials();
+    if (!tryForward())
+        return false;
     for (relay_part &part : m_request.parts)
         part.step = step_kind::Failed;
     m_request.failedParts = m_request.parts.size();
--- a/src/relay_host/peer_server.cpp
+++ b/src/relay_host/peer_server.cpp
@@ -41,13 +41,13 @@
     http::raw_server_settings settings;
     settings.listen = listen;
     settings.messages = forwardedLimits;
-    auto server =
-        http::raw_server::create(base, time, settings,
-                                 {[self = result.get()](request_id id, http::raw_request message) {
-                                      self->onRequest(id, std::move(message));
-                                  },
-                                  [self = result.get()](request_id id) { self->onGone(id); },
-                                  {}});
+    auto server = http::raw_server::create(
+        base, time, settings,
+        {[self = result.get()](request_id id, const http::raw_request &message) {
+             self->onRequest(id, message);
+         },
+         [self = result.get()](request_id id) { self->onGone(id); },
+         {}});
     if (!server.ok())
         return server.status();
     result->m_server = *std::move(server);
@@ -55,7 +55,7 @@
     return result;
 }
 
-void peer_server::onRequest(request_id id, http::raw_request message)
+void peer_server::onRequest(request_id id, const http::raw_request &message)
 {
     if (auto forwarded = m_codec.readForwardedRequest(message)) {
         m_onEvent(request_received{
--- a/src/relay_host/peer_server.h
+++ b/src/relay_host/peer_server.h
@@ -31,7 +31,7 @@
 private:
     peer_server(const loop_clock &time, const wire_codec &codec, pass_profile &profile,
                 relay_event_sink onEvent);
-    void onRequest(request_id id, http::raw_request message);
+    void onRequest(request_id id, const http::raw_request &message);
     void onGone(request_id id);
 
     const loop_clock &m_time;
--- a/tests/relay/forwarding_test.cpp
+++ b/tests/relay/forwarding_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(atMostOnceRequestsOfCutOffHostsRunOnce);
     CPPUNIT_TEST(hostsUseTheirServersAgainAfterTheCut);
     CPPUNIT_TEST(requestsThatLoseConnectionsAreNotForwarded);
+    CPPUNIT_TEST(partsRunOnAsManyServersAsTheRouteAllows);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +156,35 @@
             CPPUNIT_ASSERT_MESSAGE(id + " ran " + std::to_string(count) + " times", count <= 2);
     }
 
+    /// Guards against parts that run on two servers of this host and on more of another one, when
+    /// the answers of servers are late and when contact returns. Routes allow two servers.
+    void partsRunOnAsManyServersAsTheRouteAllows()
+    {
+        relay_simulation simulation({});
+        for (auto from = 4000ms; from < 14s; from += 2000ms) {
+            simulation.at(from, [&simulation] {
+                simulation.hostsWithoutServers = {0, 1, 4};
+                for (auto &[id, server] : simulation.leaves) {
+                    if (server.entry.zone.value == "zone-0")
+                        server.pausedUntil = simulation.now() + 400ms;
+                }
+            });
+            simulation.at(from + 1400ms, [&] { simulation.hostsWithoutServers.clear(); });
+        }
+        simulation.load("/all/", 2s, 16s, 6ms);
+        simulation.runUntil(19s);
+        for (std::size_t shard = 0; shard < 10; ++shard) {
+            std::map<std::string, int> servers;
+            for (std::size_t zone = 0; zone < 3; ++zone) {
+                const std::string service = "shard-" + std::to_string(shard);
+                for (const auto &[id, count] : simulation.leafOf(service, zone).runs)
+                    ++servers[id];
+            }
+            for (const auto &[id, count] : servers)
+                CPPUNIT_ASSERT_MESSAGE(id, count <= 2);
+        }
+    }
+
 private:
     /// Number of runs of each request on the servers of the service `single`.
     static std::map<std::string, int> runsOfSingle(relay_simulation &simulation)
--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -270,7 +270,7 @@
     } else if (const auto *ended = std::get_if<cancel_forward>(&action)) {
         for (const auto &[id, each] : m_forwarded) {
             if (each.from == host && each.attempt == ended->attempt)
-                schedule(2ms, [this, to = each.to, id] { post(to, caller_gone{{id}}); });
+                schedule(2ms, [this, to = each.to, id = id] { post(to, caller_gone{{id}}); });
         }
         std::erase_if(m_forwarded, [host, ended](const auto &each) {
             return each.second.from == host && each.second.attempt == ended->attempt;
--- a/tests/relay_host/peer_server_test.cpp
+++ b/tests/relay_host/peer_server_test.cpp
@@ -52,7 +52,7 @@
     {
         const auto sent = forward(m_server->localEndpoint());
         const request_received received = waitForRequest();
-        CPPUNIT_ASSERT(received.origin == (forwarding_origin{{"host-1"}, 7}));
+        CPPUNIT_ASSERT(received.origin == (forwarding_origin{{"host-1"}, 7, 2}));
         CPPUNIT_ASSERT_EQUAL(sent->method, received.request->method);
         CPPUNIT_ASSERT_EQUAL(sent->target, received.request->target);
         CPPUNIT_ASSERT_EQUAL(sent->body, received.request->body);
@@ -146,7 +146,7 @@
         request.body = std::string("\x01\r\n\xff\0", 5);
         auto shared = std::make_shared<const relay_request>(request);
         m_forwarder->carryOut(
-            forward_request{{5}, {{"host-1"}, 7}, peer, shared, m_time.at + 300ms});
+            forward_request{{5}, {{"host-1"}, 7, 2}, peer, shared, m_time.at + 300ms});
         return shared;
     }
     request_received waitForRequest()
