--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -162,6 +162,9 @@
             std::get<write_log>(m_effects.back())
                 .entry.fields.emplace_back("organisation", customer->id.value);
     }
+    if (received.origin.has_value())
+        std::get<write_log>(m_effects.back())
+            .entry.fields.emplace_back("forwarded_by", received.origin->host.value);
     if (reason.code == unknownKey)
         std::get<write_log>(m_effects.back())
             .entry.fields.emplace_back("key_digest", keyDigest(received.request->apiKey));
--- a/tests/relay_host/late_answer_test.cpp
+++ b/tests/relay_host/late_answer_test.cpp
@@ -39,7 +39,10 @@
             [this](relay_event_body body) { m_received.push_back(std::move(body)); });
         CPPUNIT_ASSERT(server.ok());
         m_server = *std::move(server);
-        const auto sink = [this](relay_event_body body) { m_outcomes.push_back(std::move(body)); };
+        const auto sink = [this](relay_event_body body) {
+            if (!std::holds_alternative<forward_acknowledged>(body))
+                m_outcomes.push_back(std::move(body));
+        };
         m_forwarder = std::make_unique<request_forwarder>(m_loop.base(), m_time, m_wire, sink);
         m_store = std::make_unique<store_client>(m_loop.base(), m_time, store_client_settings{},
                                                  m_wire, m_metrics, m_profile, sink);
--- a/tests/relay_host/peer_server_test.cpp
+++ b/tests/relay_host/peer_server_test.cpp
@@ -24,6 +24,7 @@
 {
     CPPUNIT_TEST_SUITE(peer_server_test);
     CPPUNIT_TEST(requestAndAnswerArriveUnchanged);
+    CPPUNIT_TEST(requestsAreAcknowledgedBeforeTheirAnswer);
     CPPUNIT_TEST(refusalsArriveWithTheirCode);
     CPPUNIT_TEST(cancelledRequestIsReported);
     CPPUNIT_TEST(hostThatDoesNotListenIsReported);
@@ -42,8 +43,12 @@
         CPPUNIT_ASSERT(server.ok());
         m_server = *std::move(server);
         m_forwarder = std::make_unique<request_forwarder>(
-            m_loop.base(), m_time, m_wire,
-            [this](relay_event_body body) { m_outcomes.push_back(std::move(body)); });
+            m_loop.base(), m_time, m_wire, [this](relay_event_body body) {
+                if (std::holds_alternative<forward_acknowledged>(body))
+                    m_acknowledged.push_back(std::get<forward_acknowledged>(body).attempt);
+                else
+                    m_outcomes.push_back(std::move(body));
+            });
     }
     void tearDown() override
     {
@@ -93,6 +98,19 @@
         CPPUNIT_ASSERT(http::findField(answered.reply.fields, "Waxwing-Refusal") == nullptr);
     }
 
+    /// Guards against requests that are taken back from a host which works on them.
+    void requestsAreAcknowledgedBeforeTheirAnswer()
+    {
+        forward(m_server->localEndpoint());
+        m_loop.runUntil([this] { return !m_acknowledged.empty(); });
+        CPPUNIT_ASSERT(m_acknowledged == std::vector<attempt_id>{{5}});
+        CPPUNIT_ASSERT(m_outcomes.empty());
+        leaf_reply reply;
+        reply.signature = "s1";
+        m_server->carryOut(answer_forwarded{waitForRequest().id, reply});
+        CPPUNIT_ASSERT(std::holds_alternative<forward_answered>(waitForOutcome()));
+    }
+
     /// Guards against a host that works on for a caller who has left the host that forwarded.
     void cancelledRequestIsReported()
     {
@@ -235,6 +253,7 @@
     pass_profile m_profile;
     std::vector<relay_event_body> m_received;
     std::vector<relay_event_body> m_outcomes;
+    std::vector<attempt_id> m_acknowledged;
     std::unique_ptr<peer_server> m_server;
     std::unique_ptr<request_forwarder> m_forwarder;
 };
--- a/tests/report/report_test.py
+++ b/tests/report/report_test.py
@@ -35,6 +35,8 @@
     ended("c", 3, "3", 502, 88, outcome="failed", forwarded_by="a",
           trail="s1 - no server free in time at 80 ms; s2 - no server free in time at 80 ms"),
     line("a", 3, "request refused", request="4", outcome="overloaded", status="503"),
+    line("a", 3, "request refused", request="5", outcome="no_route", status="404"),
+    line("c", 3, "request refused", request="1", outcome="behind", status="503", forwarded_by="a"),
     "{broken",
     '{"time": "x"}',
     "no log line",
@@ -52,11 +54,11 @@
         """Guards against requests that count at each host they pass, and against reasons that name
         only the host which passed the answer on."""
         result = self.summary(LINES)
-        self.assertEqual(4, result["requests"])
+        self.assertEqual(5, result["requests"])
         reasons = {row["reason"]: row["count"] for row in result["reasons"]}
         self.assertEqual({"failed: waited in vain for a server": 1, "refused: overloaded": 1,
                           "late: servers and their hedges": 1}, reasons)
-        self.assertEqual({"in time": 1, "late": 1, "failed": 1, "refused": 1},
+        self.assertEqual({"in time": 1, "late": 1, "failed": 1, "refused": 1, "invalid": 1},
                          result["by"]["zone"]["north"])
         self.assertEqual(1, result["answers_without_all_parts"])
 
