Remove a flag of forwarded requests that nothing reads

The time from which an answer is late says the same. Format is clean; 68 tests of relay, relay_host and coordinators passed under the sanitizers with it.

--- a/src/relay/pending_request.h
+++ b/src/relay/pending_request.h
@@ -58,8 +58,6 @@
     bool isLate = false;
     /// Whether the other host was asked as a coordinator, although this one reaches servers.
     bool isDelegated = false;
-    /// Whether the other host acknowledged the request.
-    bool isAcknowledged = false;
 };
 
 /// State of a relayed request that is not answered yet.
--- a/src/relay/request_forwarding.cpp
+++ b/src/relay/request_forwarding.cpp
@@ -138,7 +138,6 @@
     if (!isInProgress() || !m_request.forward->isDelegated)
         return;
     m_state.coordinators.onTaken(m_request.forward->host);
-    m_request.forward->isAcknowledged = true;
     m_request.forward->lateAt = m_request.deadline;
 }
 
