Count callers of cut hosts in the soak only while another host can help

Change: a call counts for cut hosts only if another host ran and reached servers from the time of notice (2 s) before it until its end. Bound and time of notice stay.

--- a/tools/relay_soak/operators.py
+++ b/tools/relay_soak/operators.py
@@ -280,11 +280,17 @@
         await asyncio.sleep(2.0)
         self.check_cut(hosts, began, seconds)
 
+    def is_helped(self, host, began):
+        """Whether another host ran and reached servers from a while before `began` until now. While
+        all others are cut or frozen too, no host can serve the callers of a cut one."""
+        return any(max(other.broken_until, other.cut_until) + CUT_NOTICE < began
+                   for other in self.hosts if other is not host)
+
     def check_cut(self, cut, began, seconds):
         tries = {True: [], False: []}
-        for at, host, served in self.tries:
+        for at, host, served, helped in self.tries:
             if (began + CUT_NOTICE < at < began + seconds
-                    and (host in cut or host.cut_until < began)):
+                    and (helped if host in cut else host.cut_until < began)):
                 tries[host in cut].append(served)
         if min(len(t) for t in tries.values()) < 10:
             return
--- a/tools/relay_soak/soak.py
+++ b/tools/relay_soak/soak.py
@@ -129,7 +129,7 @@
         if self.is_unrestricted(request):
             # Only while the process and its callers have no fault and had none a second ago.
             if began > host.broken_until + 1.0:
-                self.tries.append((began, host, status == 200))
+                self.tries.append((began, host, status == 200, self.is_helped(host, began)))
         if answer is None:
             return None
         line, fields, content = answer
