--- a/tests/report/ablate_test.py
+++ b/tests/report/ablate_test.py
@@ -32,6 +32,15 @@
         self.assertAlmostEqual(-0.1, rows[1]["difference"])
         self.assertIn("| forwarding | 0 |", ablate.markdown(rows, 0.01))
 
+    def test_each_deployment_has_its_own_table(self):
+        """Guards against a mechanism that helps one deployment, harms another and seems worth nothing."""
+        plays = {ablate.BASELINE: {("x/one.toml", "a", 1): figures(0.5), ("y/two.toml", "a", 1): figures(0.5)},
+                 "hedging": {("x/one.toml", "a", 1): figures(0.4), ("y/two.toml", "a", 1): figures(0.6)}}
+        text, report = ablate.tables(plays, ["x/one.toml", "y/two.toml"])
+        differences = [report[name]["rows"][1]["difference"] for name in ("one", "two", "all deployments")]
+        self.assertEqual([-0.1, 0.1, 0.0], [round(each, 6) for each in differences])
+        self.assertIn("## one", text)
+
     def test_every_key_is_read_by_the_host(self):
         """Guards against a switch that does nothing."""
         source = (ROOT / "src" / "relay_host" / "relay_host_settings.cpp").read_text()
