Lose watches of the simulated store that end while it is down

The simulation answered a watch that ended in an outage with no change at the newest revision, so the host skipped what had changed. Change: such a watch fails, as calls that start in the outage do.

--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -612,7 +612,7 @@
     schedule(std::get<watch_call>(call.how).wait, [this, waiting] {
         if (std::exchange(waiting->done, true))
             return;
-        if (hostsWithoutStore.count(waiting->host) != 0)
+        if (!storeReachable || hostsWithoutStore.count(waiting->host) != 0)
             post(waiting->host, store_call_ended{waiting->call, store_failure::NoAnswer});
         else
             post(waiting->host, ended(waiting->call, store_answer{{}, false, m_revision}));
