--- a/src/relay/policy_settings.h
+++ b/src/relay/policy_settings.h
@@ -10,8 +10,6 @@
     bool hedging = true;
     /// Hedges that count as needed retries, because the answer misses its coverage without them.
     bool neededHedges = true;
-    /// Earlier hedges once half of the parts are answered.
-    bool stragglerHedges = true;
     /// Parts that failed are tried again later if no budget or server is available at once.
     bool deferredParts = true;
     /// Longer waits for a server once other parts of the request were sent.
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -42,15 +42,9 @@
     /// progress, as a fraction of the latency goal. Refusing them would discard the answer of that
     /// part, and a resent request would repeat its processing. Leaves time for a usual answer.
     double maxExtendedWaitFraction = 0.55;
-    /// Minimum delay before a hedge, as a fraction of the latency goal. An earlier second attempt
-    /// costs a server work that does not bring the answer in time any more often.
-    double minHedgeDelayFraction = 0;
     /// Maximum delay before a hedge, as a fraction of the latency goal, so that the second server
     /// has as much time as the first.
     double maxHedgeDelayFraction = 0.4;
-    /// Minimum delay before the remaining parts of a fan-out are hedged once half of its parts are
-    /// answered. Covers a few scheduling delays of a busy host.
-    std::chrono::milliseconds minStragglerLag{8};
     /// Delay before a part of a fan-out is retried after a lost connection while no other part is
     /// answered. Other parts are answered within this time unless the request itself crashes
     /// servers.
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -257,11 +257,7 @@
     const duration networkTime = choice.expected - std::min(choice.expected, work.typical());
     const duration longest =
         scaled(m_request.target->latencyTarget, m_state.settings.requests.maxHedgeDelayFraction);
-    const duration usual =
-        std::min(networkTime + work.upperQuantile(), std::max(longest, work.typical()));
-    return std::max(
-        usual,
-        scaled(m_request.target->latencyTarget, m_state.settings.requests.minHedgeDelayFraction));
+    return std::min(networkTime + work.upperQuantile(), std::max(longest, work.typical()));
 }
 
 void request_progress::enqueue(std::size_t index)
@@ -311,8 +307,6 @@
     part.hedgeAt.reset();
     part.reply = std::move(reply);
     ++m_request.answeredParts;
-    if (m_request.answeredParts == (m_request.parts.size() + 1) / 2)
-        hedgeSlowParts();
 }
 
 void request_progress::handleErrorReply(std::size_t index, leaf_reply reply)
--- a/src/relay/request_progress.h
+++ b/src/relay/request_progress.h
@@ -74,8 +74,6 @@
     void extendQueueTime();
     void failPart(std::size_t index, std::string_view cause);
     void acceptReply(std::size_t index, leaf_reply reply);
-    /// Brings the hedges of unanswered parts forward once half of the parts are answered.
-    void hedgeSlowParts();
     void handleErrorReply(std::size_t index, leaf_reply reply);
     void onHedgeTimer(std::size_t index);
     /// Whether so many connections were lost before any reply that the request may crash servers.
--- a/src/relay/request_retries.cpp
+++ b/src/relay/request_retries.cpp
@@ -139,22 +139,6 @@
     }
 }
 
-void request_progress::hedgeSlowParts()
-{
-    if (!m_state.settings.policy.stragglerHedges)
-        return;
-    // The answered half of the parts reflects the current speed of this host and its servers. The
-    // latency estimates over all requests adapt more slowly and include the host's own processing
-    // time.
-    const duration lag = std::max<duration>(m_request.statistics->work.typical(),
-                                            m_state.settings.requests.minStragglerLag);
-    for (relay_part &part : m_request.parts) {
-        if (part.step == step_kind::InProgress && part.hedgeAt.has_value())
-            part.hedgeAt =
-                std::min(*part.hedgeAt, std::max(m_context.now, part.replyExpectedAt) + lag);
-    }
-}
-
 void request_progress::onHedgeTimer(std::size_t index)
 {
     relay_part &part = m_request.parts[index];
--- a/src/relay_host/relay_host_settings.cpp
+++ b/src/relay_host/relay_host_settings.cpp
@@ -68,10 +68,7 @@
     section.read("delegate_fan_outs", target.coordinators.isEnabled);
     section.read("hedging", policy.hedging);
     section.read("needed_hedges", policy.neededHedges);
-    section.read("straggler_hedges", policy.stragglerHedges);
     section.read("limit_hedge_rate", target.hedges.isEnabled);
-    section.read("min_hedge_delay", target.requests.minHedgeDelayFraction,
-                 number_range<double>{0, 1});
     section.read("deferred_parts", policy.deferredParts);
     section.read("extended_waits", policy.extendedWaits);
     section.read("partial_answers", policy.partialAnswers);
