--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -11,11 +11,11 @@
 
 ZONES = {"zh-nord": "deutschschweiz", "ge-lac": "romandie", "ti-sopra": "svizzera-it"}
 HOSTS = 6
-SECONDS = 80
-SERVICES = [f"einschreibung~{n}" for n in range(8)]
+SECONDS = 75
+SERVICES = [f"einschreibung~{n}" for n in range(9)]
 SERVERS_PER_SERVICE, SLOTS, QUEUE, WORK_S = 2, 1, 1, 0.06
 # The servers of a service finish about 33 requests a second.
-REQUESTS_PER_S = 42
+REQUESTS_PER_S = 48
 # `garble`, `extra late` of the site file: 0.6 of the servers, 0.03 of their answers, for 5 s.
 FAULTY_SHARE, COPIED_SHARE, FAULT_S, FAULT_EVERY_S = 0.6, 0.03, 5.0, 10.0
 NOT_RUN_STATUS = {408, 421, 429, 503}
