--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -18,6 +18,8 @@
 REQUESTS_PER_S = 48
 # `garble`, `extra late` of the site file: 0.6 of the servers, 0.03 of their answers, for 5 s.
 FAULTY_SHARE, COPIED_SHARE, FAULT_S, FAULT_EVERY_S = 0.6, 0.03, 5.0, 10.0
+# Bounds of vsb-suche that differ from those of lavagna.
+SITE_BOUNDS = {"drainMs": 4000, "configApplyMs": 4000, "retryBudgetBase": 54}
 NOT_RUN_STATUS = {408, 421, 429, 503}
 
 
@@ -60,6 +62,8 @@
               for s, service in enumerate(SERVICES)]
     store.put("config", "main", configuration(7, routes, SERVICES, connections=39))
     fleet = Fleet(HOSTS, ZONES, store, folder)
+    for host in fleet.hosts:
+        host.fields["contractParams"].update(SITE_BOUNDS)
     client = Client(record, "kreise.example")
     answers = {}
     try:
