Log each connection that ends before the answer, and whether it counts as a crash

Adds the line 'a connection ended before the answer' with request, fingerprint, server, its start and the verdict, counters by verdict, and the fingerprint of refused requests. No decision changes.

--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -18,6 +18,23 @@
 
 } // namespace
 
+std::string_view verdictName(loss_verdict verdict)
+{
+    switch (verdict) {
+    case loss_verdict::Counted:
+        return "counted";
+    case loss_verdict::KnownGood:
+        return "known_good";
+    case loss_verdict::SameEpisode:
+        return "same_episode";
+    case loss_verdict::UnrelatedLosses:
+        return "unrelated_losses";
+    case loss_verdict::TooManySuspects:
+        break;
+    }
+    return "too_many_suspects";
+}
+
 std::uint64_t requestFingerprint(const service_id &service, std::string_view query)
 {
     return stableHash(query, stableHash(service.value));
@@ -71,29 +88,31 @@
     m_good.add(fingerprint, now);
 }
 
-void request_quarantine::onConnectionLost(const service_id &service, std::uint64_t fingerprint,
-                                          const server_id &server, time_point sent, time_point now)
+loss_verdict request_quarantine::onConnectionLost(const service_id &service,
+                                                  std::uint64_t fingerprint,
+                                                  const server_id &server, time_point sent,
+                                                  time_point now)
 {
     m_lastCrash[service] = now;
     recordLoss(server, now);
     if (m_good.contains(fingerprint))
-        return;
+        return loss_verdict::KnownGood;
     suspect *known = insert(fingerprint, now);
     if (known == nullptr)
-        return;
+        return loss_verdict::TooManySuspects;
     known->servers.insert(server);
     // Attempts sent before the last counted crash add no crash: the loss of a zone breaks many
     // connections at once.
     if (known->crashes != 0 && sent < known->countedAt)
-        return;
+        return loss_verdict::SameEpisode;
     if (known->crashes + 1 >= m_settings.crashesToList && isCorrelatedLoss(*known))
-        return;
+        return loss_verdict::UnrelatedLosses;
     known->expires = now + m_settings.listedFor;
     raiseCrashCount(fingerprint, *known, known->crashes + 1, now);
-    if (known->crashes < m_settings.crashesToPublish)
-        return;
-    m_observations.push_back(
-        {fmt::format("{:016x}", fingerprint), known->crashes, m_settings.listedFor});
+    if (known->crashes >= m_settings.crashesToPublish)
+        m_observations.push_back(
+            {fmt::format("{:016x}", fingerprint), known->crashes, m_settings.listedFor});
+    return loss_verdict::Counted;
 }
 
 void request_quarantine::onFact(const fact &received, time_point now)
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -43,6 +43,23 @@
     bool operator==(const quarantine_settings &) const = default;
 };
 
+/// What a lost connection means for the request that was in progress on it.
+enum class loss_verdict {
+    /// Counted as a crash that the request may have caused.
+    Counted,
+    /// A backend server answered the request recently.
+    KnownGood,
+    /// The request was sent before its last counted crash, which may have the same cause.
+    SameEpisode,
+    /// Other backend servers were lost at the same time.
+    UnrelatedLosses,
+    /// Too many requests are suspected.
+    TooManySuspects,
+};
+
+/// Name of a verdict in logs and metrics.
+std::string_view verdictName(loss_verdict verdict);
+
 /// Fingerprint that identifies a request in the quarantine: hash of its service and query, without
 /// its page.
 std::uint64_t requestFingerprint(const service_id &service, std::string_view query);
@@ -72,8 +89,8 @@
     void onAnswer(std::uint64_t fingerprint, time_point now);
     /// Called when the connection to `server` was lost while the request, sent at `sent`, was in
     /// progress.
-    void onConnectionLost(const service_id &service, std::uint64_t fingerprint,
-                          const server_id &server, time_point sent, time_point now);
+    loss_verdict onConnectionLost(const service_id &service, std::uint64_t fingerprint,
+                                  const server_id &server, time_point sent, time_point now);
     /// Applies a crash count published by another host.
     void onFact(const fact &received, time_point now);
 
--- a/src/relay/attempt_dispatch.cpp
+++ b/src/relay/attempt_dispatch.cpp
@@ -160,6 +160,23 @@
     requests.quarantine.onAnswer(attempt.fingerprint, m_now);
 }
 
+void relay_dispatch::logLoss(const relay_attempt &attempt, std::string_view verdict)
+{
+    m_effects.emplace_back(count_metric{fmt::format("relay_lost_requests_total_{}", verdict), 1});
+    const registered_server &entry = attempt.server->entry();
+    const auto after = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - attempt.sent);
+    log_entry line{log_level::Info, "a connection ended before the answer", {}};
+    if (attempt.request.has_value())
+        line.fields.emplace_back(
+            "request", m_parts.requests.inProgress.at(attempt.request->value)->request->callerId);
+    line.fields.emplace_back("fingerprint", fmt::format("{:016x}", attempt.fingerprint));
+    line.fields.emplace_back("server", entry.id.value);
+    line.fields.emplace_back("server_started", fmt::to_string(entry.startedAt));
+    line.fields.emplace_back("after_ms", fmt::to_string(after.count()));
+    line.fields.emplace_back("crash", std::string(verdict));
+    m_effects.emplace_back(write_log{std::move(line)});
+}
+
 void relay_dispatch::operator()(const leaf_answered &answered)
 {
     bool found = false;
@@ -193,11 +210,14 @@
     case leaf_failure::NotAccepted:
         server.onNotAccepted(failed.attempt, m_now);
         m_effects.emplace_back(count_metric{"relay_connections_not_accepted_total", 1});
+        logLoss(attempt, "not_accepted");
         break;
     case leaf_failure::ConnectionLost:
         server.onConnectionLoss(failed.attempt, m_now);
-        m_parts.requests.quarantine.onConnectionLost(server.entry().service, attempt.fingerprint,
-                                                     server.entry().id, attempt.sent, m_now);
+        logLoss(attempt,
+                verdictName(m_parts.requests.quarantine.onConnectionLost(
+                    server.entry().service, attempt.fingerprint, server.entry().id, attempt.sent,
+                    m_now)));
         break;
     case leaf_failure::Malformed:
         recordContact();
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds otherHostRetry{20};
 /// Code of the refusal of requests without an API key that is in force.
 const char *const unknownKey = "unknown_key";
+/// Code of the refusal of requests that crashed backend servers.
+const char *const quarantinedCode = "quarantined";
 
 relay_part createPart(const service_id &service)
 {
@@ -137,7 +139,7 @@
     const auto listed =
         requests.quarantine.listedFor(fingerprintOf(*target, *received.request), m_now);
     if (listed.has_value())
-        return notRunRefusal(503, "quarantined", "the request crashed backend servers", *listed);
+        return notRunRefusal(503, quarantinedCode, "the request crashed backend servers", *listed);
     return std::nullopt;
 }
 
@@ -165,6 +167,13 @@
     if (received.origin.has_value())
         std::get<write_log>(m_effects.back())
             .entry.fields.emplace_back("forwarded_by", received.origin->host.value);
+    if (reason.code == quarantinedCode) {
+        const route *target =
+            m_parts.requests.document->find(received.request->hostName, received.request->target);
+        std::get<write_log>(m_effects.back())
+            .entry.fields.emplace_back(
+                "fingerprint", fmt::format("{:016x}", fingerprintOf(*target, *received.request)));
+    }
     if (reason.code == unknownKey)
         std::get<write_log>(m_effects.back())
             .entry.fields.emplace_back("key_digest", keyDigest(received.request->apiKey));
--- a/src/relay/relay_dispatch.h
+++ b/src/relay/relay_dispatch.h
@@ -15,6 +15,7 @@
 
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace waxwing::relay {
@@ -137,6 +138,8 @@
     void recordContact();
     void checkContact();
     void recordReply(const relay_attempt &attempt, attempt_id id, const leaf_reply &reply);
+    /// Logs a connection that ended before the answer, and whether that counts as a crash.
+    void logLoss(const relay_attempt &attempt, std::string_view verdict);
     void sendWaitingParts(const service_id &service);
     void sendWaitingParts(const std::set<service_id> &services);
     void sendPartsInTurn();
