--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -688,6 +688,10 @@
     server.arrivals.push_back(m_now);
     if (server.fault == fault_kind::Silent)
         return;
+    if (isDrawn(notAcceptedRate)) {
+        fail(host, action.attempt, oneWayDelay, leaf_failure::NotAccepted);
+        return;
+    }
     if (server.fault == fault_kind::RefusesAll || server.queue.size() >= queueLimit
         || isDrawn(server.refusalRate)) {
         leaf_reply refused;
@@ -700,36 +704,68 @@
         reply(host, action.attempt, oneWayDelay, refused);
         return;
     }
+    server.present.emplace(host, action.attempt.value);
     server.queue.push_back([this, host, action, oneWayDelay, &server] {
         if (m_cancelled.count(attemptKey(host, action.attempt)) != 0) {
+            server.present.erase({host, action.attempt.value});
             startNext(server);
             return;
         }
         ++server.busySlots;
         ++server.runs[action.request->callerId];
-        schedule(workTime(*action.request, server), [this, host, action, oneWayDelay, &server] {
-            --server.busySlots;
-            startNext(server);
-            leaf_reply content;
-            content.signature = server.entry.id.value + " " + action.request->callerId;
-            content.body = std::string(16, 'r');
-            const bool lost = isDrawn(server.lostReplyRate);
-            if (lost || server.fault == fault_kind::LosesAllReplies) {
-                fail(host, action.attempt, oneWayDelay, leaf_failure::ConnectionLost);
-                return;
-            }
-            content.leaving = server.announcesLeaving;
-            stateRateLimit(server, content);
-            stateLoad(server, m_now, content);
-            if (server.fault == fault_kind::FailsAll)
-                content.status = 500;
-            if (server.fault != fault_kind::Silent)
-                reply(host, action.attempt, oneWayDelay, content);
-        });
+        if (crashesServers && crashesServers(*action.request)) {
+            crash(host, action, server);
+            return;
+        }
+        schedule(workTime(*action.request, server),
+                 [this, host, action, oneWayDelay, &server, crashes = server.crashes] {
+                     if (server.crashes != crashes)
+                         return;
+                     server.present.erase({host, action.attempt.value});
+                     --server.busySlots;
+                     startNext(server);
+                     leaf_reply content;
+                     content.signature = server.entry.id.value + " " + action.request->callerId;
+                     content.body = std::string(16, 'r');
+                     const bool lost = isDrawn(server.lostReplyRate);
+                     if (lost || server.fault == fault_kind::LosesAllReplies) {
+                         fail(host, action.attempt, oneWayDelay, leaf_failure::ConnectionLost);
+                         return;
+                     }
+                     content.leaving = server.announcesLeaving;
+                     stateRateLimit(server, content);
+                     stateLoad(server, m_now, content);
+                     if (server.fault == fault_kind::FailsAll)
+                         content.status = 500;
+                     if (server.fault != fault_kind::Silent)
+                         reply(host, action.attempt, oneWayDelay, content);
+                 });
     });
     startNext(server);
 }
 
+void relay_simulation::crash(std::size_t host, const send_to_leaf &action, simulated_leaf &server)
+{
+    crashed.push_back({m_now, action.request->callerId, server.entry.id});
+    for (const auto &[from, attempt] : std::exchange(server.present, {})) {
+        const bool isCause = from == host && attempt == action.attempt.value;
+        fail(from, {attempt}, networkDelay(from, server.entry.zone),
+             isCause ? crashFailure : leaf_failure::ConnectionLost);
+    }
+    ++server.crashes;
+    server.queue.clear();
+    server.busySlots = 0;
+    server.fault = simulated_leaf::fault_kind::Down;
+    constexpr auto registrationLapse = 3600ms;
+    if (crashDownTime > registrationLapse)
+        schedule(registrationLapse, [this, id = server.entry.id] { unregister(id); });
+    schedule(crashDownTime, [this, &server] {
+        server.fault = simulated_leaf::fault_kind::None;
+        ++server.entry.startedAt;
+        registerServer(server.entry);
+    });
+}
+
 void relay_simulation::startNext(simulated_leaf &server)
 {
     if (m_now < server.pausedUntil) {
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -47,6 +47,10 @@
     double lostReplyRate = 0;
     /// Requests that are queued for a slot.
     std::deque<std::function<void()>> queue;
+    /// Hosts and attempts of the requests that are queued or run.
+    std::set<std::pair<std::size_t, std::uint64_t>> present;
+    /// Number of crashes. What a server did before a crash has no effect after it.
+    std::uint32_t crashes = 0;
     std::uint32_t busySlots = 0;
     /// Number of runs by `callerId` of the request.
     std::map<std::string, int> runs;
@@ -80,6 +84,15 @@
     std::size_t parts() const;
 };
 
+/// Crash of a server by a request in a `relay_simulation`.
+struct simulated_crash
+{
+    time_point at{};
+    /// Request that crashed it.
+    std::string callerId;
+    server_id server;
+};
+
 /// Parameters of a `relay_simulation`.
 struct simulation_layout
 {
@@ -203,6 +216,18 @@
     bool acknowledgesForwards = true;
     /// Number of requests forwarded to hosts of each zone.
     std::map<std::string, std::size_t> forwardsByZone;
+    /// Whether a request crashes each server that begins to run it; none for no request.
+    std::function<bool(const relay_request &)> crashesServers;
+    /// How the connection of the request that crashed a server ends. The other requests on the
+    /// server lose theirs.
+    leaf_failure crashFailure = leaf_failure::ConnectionLost;
+    /// Time for which a crashed server is down. It then registers again, as a new start. Its
+    /// registration lapses after 3.6 s.
+    std::chrono::milliseconds crashDownTime{3000};
+    std::vector<simulated_crash> crashed;
+    /// Share of the requests whose connection a server ends at once without running them, as at its
+    /// connection limit, 0..1.
+    double notAcceptedRate = 0;
     /// Indices of hosts that handle no events.
     std::set<std::size_t> stalledHosts;
     /// Indices of hosts whose connections to all servers hang, new ones as well.
@@ -265,6 +290,7 @@
     void callLeaf(std::size_t host, const send_to_leaf &action);
     void arrive(std::size_t host, const send_to_leaf &action, simulated_leaf &server);
     void startNext(simulated_leaf &server);
+    void crash(std::size_t host, const send_to_leaf &action, simulated_leaf &server);
     /// Returns true with probability `rate`.
     bool isDrawn(double rate);
     void reply(std::size_t host, attempt_id attempt, duration oneWayDelay, leaf_reply content);
