Add up the crashes of a request that different hosts see

Callers saw: a request that had crashed three servers was sent to servers again and again, and took the requests of others on those servers with it, in fleets of many hosts. Cause: each host counted the crashes that it saw itself, told the others from the second one on, and took the maximum of the counts. A request that came to another host each time was counted as 1 everywhere. The threshold of 2 was set so that a fleet does not tell every host of each lost answer (decision 0013). Change: when a request ends without any answer, its host reports the crash to two hosts that rendezvous hashing of the fingerprint chooses. They count each start of a server once and publish the sum from the second crash on. A report costs two datagrams in a fleet of any size.

--- a/src/entry/entry_parts.cpp
+++ b/src/entry/entry_parts.cpp
@@ -56,6 +56,9 @@
         case fact_kind::RequestQuarantined:
             quarantine.onFact(received, context.now);
             break;
+        case fact_kind::RequestCrash:
+            // Entry hosts publish each crash.
+            break;
         }
     }
 }
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -52,6 +52,9 @@
     /// The request fingerprint `subject` crashed a backend server; `value` is the number of
     /// crashes.
     RequestQuarantined,
+    /// The request fingerprint `subject` was in progress on a backend server that crashed; `value`
+    /// identifies the start of the server. For the receiver only: neither stored nor passed on.
+    RequestCrash,
 };
 
 /// Small value disseminated between entry hosts by gossip. A higher sequence of the same origin
--- a/src/membership/member_codec.cpp
+++ b/src/membership/member_codec.cpp
@@ -71,7 +71,7 @@
 std::optional<fact> fromWire(const wire::Fact &value)
 {
     if (!isId(value.subject()) || !isId(value.origin())
-        || value.kind() > static_cast<std::uint32_t>(fact_kind::RequestQuarantined)
+        || value.kind() > static_cast<std::uint32_t>(fact_kind::RequestCrash)
         || value.valid_for_ms() > maxValidForMs)
         return std::nullopt;
     return fact{static_cast<fact_kind>(value.kind()),
--- a/src/membership/membership_state.cpp
+++ b/src/membership/membership_state.cpp
@@ -86,6 +86,10 @@
 void membership::state::applyFacts(time_point now, const std::vector<fact> &received)
 {
     for (const fact &each : received) {
+        if (each.kind == fact_kind::RequestCrash) {
+            newFacts.push_back(each);
+            continue;
+        }
         // Sequences increase across incarnations so that new facts supersede those of an earlier
         // one.
         if (each.origin == members.self().host)
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -90,17 +90,20 @@
 
 loss_verdict request_quarantine::onConnectionLost(const service_id &service,
                                                   std::uint64_t fingerprint,
-                                                  const server_id &server, time_point sent,
+                                                  const lost_server &lost, time_point sent,
                                                   time_point now)
 {
     m_lastCrash[service] = now;
-    recordLoss(server, now);
+    recordLoss(lost.id, now);
     if (m_good.contains(fingerprint))
         return loss_verdict::KnownGood;
     suspect *known = insert(fingerprint, now);
     if (known == nullptr)
         return loss_verdict::TooManySuspects;
-    known->servers.insert(server);
+    known->servers.insert(lost.id);
+    // The host that sees the next loss on the same start counts it, in case the server goes on.
+    if (known->reported.erase(lost.start) != 0)
+        return loss_verdict::SameEpisode;
     // Attempts sent before the last counted crash add no crash: the loss of a zone breaks many
     // connections at once.
     if (known->crashes != 0 && sent < known->countedAt)
@@ -108,13 +111,44 @@
     if (known->crashes + 1 >= m_settings.crashesToList && isCorrelatedLoss(*known))
         return loss_verdict::UnrelatedLosses;
     known->expires = now + m_settings.listedFor;
+    known->starts.insert(lost.start);
+    known->unreported.push_back(lost.start);
     raiseCrashCount(fingerprint, *known, known->crashes + 1, now);
-    if (known->crashes >= m_settings.crashesToPublish)
-        m_observations.push_back(
-            {fmt::format("{:016x}", fingerprint), known->crashes, m_settings.listedFor});
+    publish(fingerprint, *known);
     return loss_verdict::Counted;
 }
 
+void request_quarantine::publish(std::uint64_t fingerprint, suspect &known)
+{
+    if (known.crashes < m_settings.crashesToPublish)
+        return;
+    known.unreported.clear();
+    m_observations.push_back(
+        {fmt::format("{:016x}", fingerprint), known.crashes, m_settings.listedFor});
+}
+
+void request_quarantine::onUnanswered(std::uint64_t fingerprint)
+{
+    const auto known = m_suspects.find(fingerprint);
+    if (known == m_suspects.end())
+        return;
+    for (const std::uint64_t start : std::exchange(known->second.unreported, {}))
+        m_reports.push_back({fingerprint, start});
+}
+
+void request_quarantine::onReport(const crash_report &report, time_point now)
+{
+    if (m_good.contains(report.fingerprint))
+        return;
+    suspect *known = insert(report.fingerprint, now);
+    if (known == nullptr || known->starts.count(report.start) != 0
+        || !known->reported.insert(report.start).second)
+        return;
+    known->expires = now + m_settings.listedFor;
+    raiseCrashCount(report.fingerprint, *known, known->crashes + 1, now);
+    publish(report.fingerprint, *known);
+}
+
 void request_quarantine::onFact(const fact &received, time_point now)
 {
     std::uint64_t fingerprint = 0;
@@ -166,6 +200,11 @@
     return std::exchange(m_observations, {});
 }
 
+std::vector<crash_report> request_quarantine::takeReports()
+{
+    return std::exchange(m_reports, {});
+}
+
 const request_quarantine::suspect *request_quarantine::find(std::uint64_t fingerprint,
                                                             time_point now) const
 {
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -60,6 +60,27 @@
 /// Name of a verdict in logs and metrics.
 std::string_view verdictName(loss_verdict verdict);
 
+/// Backend server to which a connection was lost.
+struct lost_server
+{
+    server_id id;
+    /// Identifies this start of the server on all hosts.
+    std::uint64_t start = 0;
+
+    bool operator==(const lost_server &) const = default;
+};
+
+/// Crash of a backend server that a request may have caused, told to the hosts that add up the
+/// crashes of that request.
+struct crash_report
+{
+    std::uint64_t fingerprint = 0;
+    /// `lost_server::start` of the server.
+    std::uint64_t start = 0;
+
+    bool operator==(const crash_report &) const = default;
+};
+
 /// Fingerprint that identifies a request in the quarantine: hash of its service and query, without
 /// its page.
 std::uint64_t requestFingerprint(const service_id &service, std::string_view query);
@@ -90,9 +111,14 @@
     /// Called when the connection to `server` was lost while the request, sent at `sent`, was in
     /// progress.
     loss_verdict onConnectionLost(const service_id &service, std::uint64_t fingerprint,
-                                  const server_id &server, time_point sent, time_point now);
+                                  const lost_server &lost, time_point sent, time_point now);
+    /// Called when a request ended without the answer of a server. Its crashes that were not
+    /// published are reported then, since no answer followed.
+    void onUnanswered(std::uint64_t fingerprint);
     /// Applies a crash count published by another host.
     void onFact(const fact &received, time_point now);
+    /// Adds a crash that another host reported, unless that start of the server is counted already.
+    void onReport(const crash_report &report, time_point now);
 
     /// Crash counted by this host, to be published as a fact to the other hosts.
     struct observation
@@ -108,6 +134,8 @@
     };
     /// Returns and clears the observations since the last call.
     std::vector<observation> takeObservations();
+    /// Returns and clears the crashes to be reported since the last call.
+    std::vector<crash_report> takeReports();
 
 private:
     struct suspect
@@ -118,6 +146,12 @@
         time_point countedAt;
         time_point expires;
         std::set<server_id> servers;
+        /// Starts of servers whose crash this host counted itself.
+        std::set<std::uint64_t> starts;
+        /// Starts of servers whose crash was counted from reports.
+        std::set<std::uint64_t> reported;
+        /// Those of `starts` that were neither published nor reported to other hosts.
+        std::vector<std::uint64_t> unreported;
         /// When the count reached `crashesToList`.
         std::optional<time_point> reachedAt;
         /// Whether another request reached `crashesToList` within `tieWindow`, so that this one
@@ -136,6 +170,7 @@
     bool isListed(const suspect &candidate) const;
     void raiseCrashCount(std::uint64_t fingerprint, suspect &known, std::uint32_t crashes,
                          time_point now);
+    void publish(std::uint64_t fingerprint, suspect &known);
     bool isCorrelatedLoss(const suspect &candidate) const;
 
     quarantine_settings m_settings;
@@ -146,6 +181,7 @@
     /// Fingerprints that reached `crashesToList` most recently, oldest first.
     std::deque<std::uint64_t> m_reached;
     std::vector<observation> m_observations;
+    std::vector<crash_report> m_reports;
 };
 
 } // namespace waxwing
--- a/src/query/fan_out.cpp
+++ b/src/query/fan_out.cpp
@@ -119,7 +119,7 @@
     if (failure.error == leaf_error::ConnectionLost) {
         m_work.context.emit(count_metric{"leaf_connections_lost_total", 1});
         m_work.environment.quarantine.onConnectionLost(m_search.target->id, m_search.fingerprint,
-                                                       attempt.server, attempt.sent, now);
+                                                       {attempt.server}, attempt.sent, now);
     }
     if (needsNextCanary(index, failure.error))
         return tryNextCanary(index, failure.error);
--- a/src/query/search_progress.cpp
+++ b/src/query/search_progress.cpp
@@ -80,7 +80,7 @@
     }
     work.environment.backends.onFailure(attempt.server, *failure, now);
     work.environment.quarantine.onConnectionLost(abandoned.service, abandoned.fingerprint,
-                                                 attempt.server, attempt.sent, now);
+                                                 {attempt.server}, attempt.sent, now);
 }
 
 void search_progress::sendQueuedShards(search_context &work, const shard_queue::key &shard)
--- a/src/relay/attempt_dispatch.cpp
+++ b/src/relay/attempt_dispatch.cpp
@@ -216,8 +216,10 @@
         server.onConnectionLoss(failed.attempt, m_now);
         logLoss(attempt,
                 verdictName(m_parts.requests.quarantine.onConnectionLost(
-                    server.entry().service, attempt.fingerprint, server.entry().id, attempt.sent,
-                    m_now)));
+                    server.entry().service, attempt.fingerprint,
+                    {server.entry().id, observationKey(server.entry())}, attempt.sent, m_now)));
+        if (!attempt.request.has_value())
+            m_parts.requests.quarantine.onUnanswered(attempt.fingerprint);
         break;
     case leaf_failure::Malformed:
         recordContact();
--- a/src/relay/quota_dispatch.cpp
+++ b/src/relay/quota_dispatch.cpp
@@ -1,5 +1,6 @@
 // Handlers of `relay_dispatch` for messages between hosts and for quotas.
 
+#include "quarantine/crash_reports.h"
 #include "relay/relay_dispatch.h"
 
 #include <fmt/format.h>
@@ -21,6 +22,11 @@
     }
     m_parts.members.onDatagram(m_context, received.from, message);
     for (const fact &newFact : m_parts.members.takeNewFacts()) {
+        if (newFact.kind == fact_kind::RequestCrash) {
+            if (const auto report = crash_reports::read(newFact))
+                m_parts.requests.quarantine.onReport(*report, m_now);
+            continue;
+        }
         if (newFact.kind != fact_kind::RequestQuarantined)
             continue;
         m_parts.requests.quarantine.onFact(newFact, m_now);
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "membership/urgent_facts.h"
 #include "organisations/caller_authentication.h"
+#include "quarantine/crash_reports.h"
 #include "relay/evacuation_handler.h"
 #include "relay/store_update_handler.h"
 
@@ -298,6 +299,7 @@
                   {{"fingerprint", observation.subject},
                    {"losses", fmt::to_string(observation.crashes)}});
     }
+    crash_reports::send(m_context, m_parts.members, m_parts.requests.quarantine.takeReports());
     applyMembers();
     finishQuotaWaits();
     shareObservations();
--- a/src/relay/request_completion.cpp
+++ b/src/relay/request_completion.cpp
@@ -154,6 +154,7 @@
 void request_completion::finish(relay_answer answer, std::string_view outcome)
 {
     m_ended = true;
+    reportCrashes();
     abandonAttempts();
     cancelForward();
     logCompletion(outcome, answer);
@@ -188,6 +189,12 @@
     });
 }
 
+void request_completion::reportCrashes()
+{
+    if (m_request.hasLostConnection && m_request.answeredParts == 0)
+        m_state.quarantine.onUnanswered(m_request.fingerprint);
+}
+
 void request_completion::cancelForward()
 {
     if (!m_request.forward.has_value())
@@ -200,6 +207,7 @@
 void request_completion::cancel()
 {
     m_ended = true;
+    reportCrashes();
     cancelForward();
     endAttempts([this](attempt_id id, auto attempt) {
         attempt->second.server->onCancel(id);
--- a/src/relay/request_completion.h
+++ b/src/relay/request_completion.h
@@ -47,6 +47,8 @@
 
 private:
     void finish(relay_answer answer, std::string_view outcome);
+    /// Has the crashes of the request reported to other hosts if it ends without any answer.
+    void reportCrashes();
     void abandonAttempts();
     void cancelForward();
     /// Takes all parts out of their queues and hands each attempt that is in progress to `end`.
--- a/tests/membership/gossip_codec_test.cpp
+++ b/tests/membership/gossip_codec_test.cpp
@@ -103,7 +103,7 @@
                  [](auto &message) {
                      message.mutable_updates(0)->mutable_gossip()->set_address("a.example");
                  },
-                 [](auto &message) { message.mutable_facts(0)->set_kind(2); },
+                 [](auto &message) { message.mutable_facts(0)->set_kind(3); },
                  [](auto &message) { message.mutable_facts(0)->set_valid_for_ms(UINT64_MAX); }}) {
             wire::Gossip message;
             CPPUNIT_ASSERT(message.ParseFromString(encodeGossip(wholeMessage())));
--- a/tests/quarantine/request_quarantine_test.cpp
+++ b/tests/quarantine/request_quarantine_test.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(lossOfAZoneListsNoRequests);
     CPPUNIT_TEST(crashReportedByTwoHostsIsCountedOnce);
     CPPUNIT_TEST(singleLossIsNotPublishedIfTwoAreRequired);
+    CPPUNIT_TEST(crashIsReportedOnceItsRequestEndsUnanswered);
+    CPPUNIT_TEST(reportsOfOneStartAreCountedOnce);
     CPPUNIT_TEST(canaryWaveAddsLessThan8Milliseconds);
     CPPUNIT_TEST_SUITE_END();
 
@@ -199,6 +201,42 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, published[0].crashes);
     }
 
+    /// Guards against a crash that no other host ever hears of, and against reports of lost answers
+    /// that were followed by the answer to a retry.
+    void crashIsReportedOnceItsRequestEndsUnanswered()
+    {
+        request_quarantine quarantine({.crashesToList = 3, .crashesToPublish = 2});
+        const time_point now{1h};
+        quarantine.onConnectionLost({"desk"}, 1, {{"a"}, 10}, now - 5ms, now);
+        quarantine.onAnswer(1, now + 5ms);
+        quarantine.onUnanswered(1);
+        CPPUNIT_ASSERT(quarantine.takeReports().empty());
+        quarantine.onConnectionLost({"desk"}, 2, {{"a"}, 10}, now - 5ms, now);
+        CPPUNIT_ASSERT(quarantine.takeReports().empty());
+        quarantine.onUnanswered(2);
+        quarantine.onUnanswered(2);
+        const auto reports = quarantine.takeReports();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports.size());
+        CPPUNIT_ASSERT((reports[0] == crash_report{2, 10}));
+    }
+
+    /// Guards against requests that are refused because several hosts saw the same crash.
+    void reportsOfOneStartAreCountedOnce()
+    {
+        request_quarantine quarantine({.crashesToList = 3, .crashesToPublish = 2});
+        const time_point now{1h};
+        for (int i = 0; i < 5; ++i)
+            quarantine.onReport({1, 10}, now + i * 1ms);
+        quarantine.onConnectionLost({"desk"}, 1, {{"a"}, 10}, now, now + 6ms);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, quarantine.crashes(1, now + 7ms));
+        quarantine.onReport({1, 11}, now + 8ms);
+        const auto published = quarantine.takeObservations();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, published.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, published[0].crashes);
+        quarantine.onReport({1, 12}, now + 100ms);
+        CPPUNIT_ASSERT(quarantine.listedFor(1, now + 101ms).has_value());
+    }
+
     /// Guards against a canary wave that takes longer than one typical leaf latency; prints the
     /// latencies of known and new requests.
     void canaryWaveAddsLessThan8Milliseconds()
