Tell the callers of a crashing request apart by their keys and methods

Callers saw: a request of one caller crashed two servers a second for half a minute, because other callers asked for the same path and were served. Cause: a request was identified by host name, target and body. Any answer to another caller of the path, or to another method, cleared it, and later crashes were not counted. Callers without a key still cannot be told apart.

--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -1,5 +1,6 @@
 #include "relay/relay_dispatch.h"
 
+#include "core/hash.h"
 #include "membership/urgent_facts.h"
 #include "organisations/caller_authentication.h"
 #include "quarantine/crash_reports.h"
@@ -30,9 +31,14 @@
     return part;
 }
 
+/// Identifies a request by its method, target, caller and body. Callers without a key cannot be
+/// told apart.
 std::uint64_t fingerprintOf(const route &target, const relay_request &request)
 {
-    return requestFingerprint({target.hostName}, request.target + '\n' + request.body);
+    // Neither a method nor a target contains a line feed, and a digest has a fixed length.
+    return requestFingerprint({target.hostName},
+                              fmt::format("{}\n{}\n{:016x}\n{}", request.method, request.target,
+                                          stableHash(request.apiKey), request.body));
 }
 
 refusal notRunRefusal(int status, std::string code, std::string detail,
