Count crashes on new connections once the server is known to have ended

Callers saw: a request that crashes servers as soon as they begin it was never stopped if the connections were opened for it, as most are in a large fleet. Cause: a connection that ends within its round trip and 1 ms of its opening was taken for a server without room for connections, and told the quarantine nothing. On the wire the two look the same. Change: such a loss is kept for 10 s. It counts as a crash if the server's registration ends without notice meanwhile, or names a later start. Losses of one episode count once.

--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -127,6 +127,51 @@
         {fmt::format("{:016x}", fingerprint), known.crashes, m_settings.listedFor});
 }
 
+void request_quarantine::onConnectionNotAccepted(std::uint64_t fingerprint, const lost_server &lost,
+                                                 time_point sent, time_point now)
+{
+    while (!m_unconfirmed.empty()
+           && (now - m_unconfirmed.front().at > m_settings.confirmTime
+               || m_unconfirmed.size() >= m_settings.maxSuspects))
+        m_unconfirmed.pop_front();
+    if (!m_good.contains(fingerprint))
+        m_unconfirmed.push_back({fingerprint, lost, sent, now});
+}
+
+std::vector<std::uint64_t> request_quarantine::onServerEnded(std::uint64_t start, time_point now)
+{
+    std::vector<std::uint64_t> counted;
+    for (const unconfirmed_loss &loss : m_unconfirmed) {
+        if (loss.lost.start == start && now - loss.at <= m_settings.confirmTime
+            && countConfirmed(loss, now))
+            counted.push_back(loss.fingerprint);
+    }
+    std::erase_if(m_unconfirmed, [start](const auto &loss) { return loss.lost.start == start; });
+    return counted;
+}
+
+bool request_quarantine::countConfirmed(const unconfirmed_loss &loss, time_point now)
+{
+    suspect *known = m_good.contains(loss.fingerprint) ? nullptr : insert(loss.fingerprint, now);
+    if (known == nullptr || known->reported.count(loss.lost.start) != 0)
+        return false;
+    // One failure may break the connections of many attempts, which are in progress together.
+    const bool isSameEpisode =
+        std::any_of(known->confirmed.begin(), known->confirmed.end(), [&loss](const auto &other) {
+            return loss.sent < other.second && other.first < loss.at;
+        });
+    if (isSameEpisode || !known->starts.insert(loss.lost.start).second)
+        return false;
+    known->confirmed.emplace_back(loss.sent, loss.at);
+    known->servers.insert(loss.lost.id);
+    known->unreported.push_back(loss.lost.start);
+    known->expires = now + m_settings.listedFor;
+    raiseCrashCount(loss.fingerprint, *known, known->crashes + 1, now);
+    publish(loss.fingerprint, *known);
+    onUnanswered(loss.fingerprint);
+    return true;
+}
+
 void request_quarantine::onUnanswered(std::uint64_t fingerprint)
 {
     const auto known = m_suspects.find(fingerprint);
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace waxwing {
@@ -39,6 +40,9 @@
     std::size_t unrelatedLosses = 2;
     /// Maximum number of suspected requests that are stored.
     std::size_t maxSuspects = 10000;
+    /// Time after a loss in which the end of the server shows that it was a crash. A registration
+    /// lapses some seconds after a crash.
+    std::chrono::milliseconds confirmTime{10000};
 
     bool operator==(const quarantine_settings &) const = default;
 };
@@ -112,6 +116,14 @@
     /// progress.
     loss_verdict onConnectionLost(const service_id &service, std::uint64_t fingerprint,
                                   const lost_server &lost, time_point sent, time_point now);
+    /// Called when `lost` closed a new connection at once, on which the request had been sent at
+    /// `sent`. A server without room for connections does so, and one that crashes as soon as it
+    /// begins the request. The loss counts as a crash if the server turns out to have ended.
+    void onConnectionNotAccepted(std::uint64_t fingerprint, const lost_server &lost,
+                                 time_point sent, time_point now);
+    /// Called when a start of a server has ended without notice. Returns the fingerprints of the
+    /// requests of which it counts as a crash.
+    std::vector<std::uint64_t> onServerEnded(std::uint64_t start, time_point now);
     /// Called when a request ended without the answer of a server. Its crashes that were not
     /// published are reported then, since no answer followed.
     void onUnanswered(std::uint64_t fingerprint);
@@ -154,10 +166,20 @@
         std::vector<std::uint64_t> unreported;
         /// When the count reached `crashesToList`.
         std::optional<time_point> reachedAt;
+        /// When the requests that were counted as confirmed losses were sent and lost.
+        std::vector<std::pair<time_point, time_point>> confirmed;
         /// Whether another request reached `crashesToList` within `tieWindow`, so that this one
         /// needs one more crash to be refused.
         bool contested = false;
     };
+    /// Loss that is not known to be a crash yet.
+    struct unconfirmed_loss
+    {
+        std::uint64_t fingerprint = 0;
+        lost_server lost;
+        time_point sent;
+        time_point at;
+    };
     struct server_loss
     {
         time_point at;
@@ -171,6 +193,7 @@
     void raiseCrashCount(std::uint64_t fingerprint, suspect &known, std::uint32_t crashes,
                          time_point now);
     void publish(std::uint64_t fingerprint, suspect &known);
+    bool countConfirmed(const unconfirmed_loss &loss, time_point now);
     bool isCorrelatedLoss(const suspect &candidate) const;
 
     quarantine_settings m_settings;
@@ -178,6 +201,8 @@
     std::map<std::uint64_t, suspect> m_suspects;
     std::map<service_id, time_point> m_lastCrash;
     std::deque<server_loss> m_losses;
+    /// Oldest first.
+    std::deque<unconfirmed_loss> m_unconfirmed;
     /// Fingerprints that reached `crashesToList` most recently, oldest first.
     std::deque<std::uint64_t> m_reached;
     std::vector<observation> m_observations;
--- a/src/relay/attempt_dispatch.cpp
+++ b/src/relay/attempt_dispatch.cpp
@@ -211,6 +211,9 @@
         server.onNotAccepted(failed.attempt, m_now);
         m_effects.emplace_back(count_metric{"relay_connections_not_accepted_total", 1});
         logLoss(attempt, "not_accepted");
+        m_parts.requests.quarantine.onConnectionNotAccepted(
+            attempt.fingerprint, {server.entry().id, observationKey(server.entry())}, attempt.sent,
+            m_now);
         break;
     case leaf_failure::ConnectionLost:
         server.onConnectionLoss(failed.attempt, m_now);
--- a/src/relay/leaf_pool.cpp
+++ b/src/relay/leaf_pool.cpp
@@ -57,6 +57,8 @@
         m_services[entry.service].push_back(server);
     }
     const std::uint64_t keyBefore = observationKey(server->entry());
+    if (server->entry().startedAt != entry.startedAt && !server->isLeaving())
+        m_ended.push_back(keyBefore);
     server->update(std::move(entry), now);
     updateObservationKey(keyBefore, server);
     configureCold(*server, now);
@@ -69,9 +71,16 @@
     if (known == m_servers.end() || known->second->unlistedSince.has_value())
         return;
     known->second->unlistedSince = now;
+    if (!known->second->isLeaving())
+        m_ended.push_back(observationKey(known->second->entry()));
     updateNextRemoval();
 }
 
+std::vector<std::uint64_t> leaf_pool::takeEnded()
+{
+    return std::exchange(m_ended, {});
+}
+
 std::vector<endpoint> leaf_pool::removeUnlisted(time_point now)
 {
     std::vector<endpoint> addresses;
--- a/src/relay/leaf_pool.h
+++ b/src/relay/leaf_pool.h
@@ -10,6 +10,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -87,6 +88,9 @@
     /// Records that a registration disappeared. `removeUnlisted` removes the server after
     /// `unlistedGracePeriod` unless it is registered again.
     void markUnlisted(const server_id &server, time_point now);
+    /// Returns and clears the `observationKey` of the starts of servers that ended without notice
+    /// since the last call: the registration disappeared, or names a later start.
+    std::vector<std::uint64_t> takeEnded();
     /// Removes servers that have been unregistered for `unlistedGracePeriod`. Returns their
     /// addresses.
     std::vector<endpoint> removeUnlisted(time_point now);
@@ -174,6 +178,7 @@
     absl::flat_hash_map<service_id, leaf_list> m_services;
     /// Servers by `observationKey`; empty unless observations are shared.
     absl::flat_hash_map<std::uint64_t, std::shared_ptr<leaf>> m_observed;
+    std::vector<std::uint64_t> m_ended;
     /// Start times of servers that left. An older copy of the store may list them again.
     std::map<server_id, std::int64_t> m_departed;
 };
--- a/src/relay/store_update_handler.cpp
+++ b/src/relay/store_update_handler.cpp
@@ -210,6 +210,7 @@
             m_effects.emplace_back(close_idle_connections{*oldAddress});
         (entry->leaving ? summary.leaving : summary.registered).push_back(object.name);
     }
+    confirmCrashes();
     if (!update.isComplete)
         logRegistrations(summary);
     if (unusable > 0)
@@ -227,6 +228,20 @@
     return changed;
 }
 
+void store_update_handler::confirmCrashes()
+{
+    for (const std::uint64_t start : m_parts.requests.leaves.takeEnded()) {
+        for (const std::uint64_t fingerprint :
+             m_parts.requests.quarantine.onServerEnded(start, m_now)) {
+            m_effects.emplace_back(count_metric{"relay_lost_requests_total_confirmed", 1});
+            appendLog(m_effects, log_level::Info,
+                      "a backend server ended after it closed a new connection",
+                      {{"fingerprint", fmt::format("{:016x}", fingerprint)},
+                       {"start", fmt::format("{:016x}", start)}});
+        }
+    }
+}
+
 void store_update_handler::logRegistrations(const registration_summary &summary)
 {
     appendLog(m_effects, log_level::Info, "backend servers changed",
--- a/src/relay/store_update_handler.h
+++ b/src/relay/store_update_handler.h
@@ -44,6 +44,9 @@
     void applyRoutes(const store_object &object,
                      const std::shared_ptr<const route_document> &document);
     std::set<service_id> applyServers(const store_update &update);
+    /// Counts crashes of servers that were taken for connection limits until their registrations
+    /// ended.
+    void confirmCrashes();
     void logRegistrations(const registration_summary &summary);
 
     relay_state::parts &m_parts;
