Give the members' facts to hosts that start later

Callers saw: after a request that crashes servers had been refused everywhere, hosts that were restarted or added sent it to servers again. Cause: facts are gossiped a limited number of times. A host that starts afterwards asks another one for all members and was told the members only. Evidence: hostsThatStartLaterRefuseIt (18 late tries while hosts restart in turn, 3 allowed). Change: the answer to a request for members contains the valid facts too, within the size of its datagrams. The requests repeat at growing intervals, so a lost fact is made up for as well.

--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -88,7 +88,8 @@
         Acknowledge,
         /// Requests all active members.
         MembersRequest,
-        /// Contains some of the active members; answers a `MembersRequest` together with others.
+        /// Contains some of the active members or facts; answers a `MembersRequest` together with
+        /// others.
         Members,
         /// Usage of organisations with a quota; answered by a `QuotaAnswer`.
         QuotaReport,
--- a/src/membership/membership_state.cpp
+++ b/src/membership/membership_state.cpp
@@ -231,7 +231,17 @@
         next.updates.push_back(each);
         used += size;
     }
-    if (!next.updates.empty())
+    // Each fact is gossiped a limited number of times, so a host that starts later has missed it.
+    for (fact &known : facts.valid(context.now)) {
+        const std::size_t size = gossipBytes(known);
+        if (used + size > settings.datagramBytes) {
+            context.emit(send_datagram{address, std::exchange(next, empty)});
+            used = gossipBytes(empty);
+        }
+        next.facts.push_back(std::move(known));
+        used += size;
+    }
+    if (!next.updates.empty() || !next.facts.empty())
         context.emit(send_datagram{address, std::move(next)});
 }
 
