Count crashes that come with unrelated losses from the second one in a row on

Callers saw: two requests that crash servers at the same time were never stopped. Cause: from the third crash on, a loss does not count if two other servers were lost within the same second. Each of the two was taken for a victim of the other, every time. Evidence: crashesBesideOtherLossesAreCounted (more than 6 late tries, 6 allowed for both). Change: only one crash in a row is ignored so; the episode still counts once.

--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -108,8 +108,12 @@
     // connections at once.
     if (known->crashes != 0 && sent < known->countedAt)
         return loss_verdict::SameEpisode;
-    if (known->crashes + 1 >= m_settings.crashesToList && isCorrelatedLoss(*known))
+    if (known->crashes + 1 >= m_settings.crashesToList && isCorrelatedLoss(*known)
+        && known->ignoredCrashes < m_settings.maxIgnoredCrashes) {
+        ++known->ignoredCrashes;
+        known->countedAt = now;
         return loss_verdict::UnrelatedLosses;
+    }
     known->expires = now + m_settings.listedFor;
     known->starts.insert(lost.start);
     known->unreported.push_back(lost.start);
@@ -219,6 +223,7 @@
                                          std::uint32_t crashes, time_point now)
 {
     known.crashes = crashes;
+    known.ignoredCrashes = 0;
     known.countedAt = now;
     if (crashes < m_settings.crashesToList || known.reachedAt.has_value())
         return;
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -38,6 +38,9 @@
     /// If at least this many servers that did not run a request are lost together with those that
     /// did, the request is not taken as the cause.
     std::size_t unrelatedLosses = 2;
+    /// Number of crashes of a request in a row that are not counted because of unrelated losses. A
+    /// request that loses its servers again and again is not only a victim of other failures.
+    std::uint32_t maxIgnoredCrashes = 1;
     /// Maximum number of suspected requests that are stored.
     std::size_t maxSuspects = 10000;
     /// Time after a loss in which the end of the server shows that it was a crash. A registration
@@ -153,8 +156,8 @@
     struct suspect
     {
         std::uint32_t crashes = 0;
-        /// When `crashes` last increased. A loss of an attempt sent before this is not counted
-        /// again, since it may be the same crash.
+        /// When the latest crash was counted or ignored. A loss of an attempt sent before this is
+        /// not counted again, since it may be the same crash.
         time_point countedAt;
         time_point expires;
         std::set<server_id> servers;
@@ -166,6 +169,8 @@
         std::vector<std::uint64_t> unreported;
         /// When the count reached `crashesToList`.
         std::optional<time_point> reachedAt;
+        /// Crashes since the last counted one that were not counted because of unrelated losses.
+        std::uint32_t ignoredCrashes = 0;
         /// When the requests that were counted as confirmed losses were sent and lost.
         std::vector<std::pair<time_point, time_point>> confirmed;
         /// Whether another request reached `crashesToList` within `tieWindow`, so that this one
