Keep one odd entry of another writer from hiding the other servers

Operators of other systems saw: an entry that is very deeply nested, or has a number too large or a port out of range, ended the hosts that read the list, or made them stop following it. Port 0 and a capacity beyond 32 bits were accepted. Change: an object that cannot be read keeps its name and revision, and is passed on to other hosts as an object of that name. A list that would not go on counts as a failed call. Entries need sequence, a port and at most 65,535 slots. Tests: objectsOfOtherWritersKeepTheirNames, listsContinueBehindObjectsWithoutNames, malformedRegistrationIsRejected. The sound entry of readsRegistrations lacked sequence; it has it now. Not covered: text whose quotes or braces don't end breaks the structure of the answer.

--- a/src/relay/store_update_handler.cpp
+++ b/src/relay/store_update_handler.cpp
@@ -193,15 +193,17 @@
     leaf_pool &leaves = m_parts.requests.leaves;
     std::set<server_id> listed;
     registration_summary summary;
-    std::size_t unusable = 0;
+    std::vector<std::string> unusable;
+    std::string firstReason;
     std::set<service_id> changed;
     for (const store_object &object : update.objects) {
         const auto *entry = std::get_if<registered_server>(&object.content);
         if (entry == nullptr) {
             leaves.markUnlisted({object.name}, m_now);
-            unusable += object.removed ? 0 : 1;
-            if (object.removed)
-                summary.removed.push_back(object.name);
+            const auto *reason = std::get_if<unusable_object>(&object.content);
+            if (!object.removed && unusable.empty() && reason != nullptr)
+                firstReason = reason->reason;
+            (object.removed ? summary.removed : unusable).push_back(object.name);
             continue;
         }
         listed.insert(entry->id);
@@ -213,9 +215,13 @@
     confirmCrashes();
     if (!update.isComplete)
         logRegistrations(summary);
-    if (unusable > 0)
+    if (!unusable.empty()) {
+        m_effects.emplace_back(count_metric{"relay_registrations_unusable_total", unusable.size()});
         appendLog(m_effects, log_level::Warning, "ignored registrations that cannot be used",
-                  {{"count", fmt::to_string(unusable)}});
+                  {{"count", fmt::to_string(unusable.size())},
+                   {"first_names", firstNames(unusable)},
+                   {"first_reason", firstReason}});
+    }
     if (update.isComplete) {
         for (const server_id &id : leaves.ids()) {
             if (listed.count(id) == 0)
--- a/src/relay/store_watcher.cpp
+++ b/src/relay/store_watcher.cpp
@@ -10,6 +10,15 @@
 /// 1.5 s after this time, then asks another host, and evacuations must be in force within 5 s.
 constexpr std::chrono::milliseconds evacuationWatchTimeout{2500};
 
+/// Name of the last object that has one, after which a list continues. An object whose name cannot
+/// be read has none.
+std::string lastName(const std::vector<store_object> &objects, const std::string &otherwise = {})
+{
+    const auto last = std::find_if(objects.rbegin(), objects.rend(),
+                                   [](const store_object &each) { return !each.name.empty(); });
+    return last == objects.rend() ? otherwise : last->name;
+}
+
 } // namespace
 
 store_watcher::store_watcher(store_object_kind kind, store_watcher_settings settings)
@@ -89,7 +98,7 @@
         // those in force, and its first watch comes a second later.
         const bool mayBeStale =
             !m_hasListed && !call.source.has_value() && m_kind != store_object_kind::Evacuations;
-        call.how = list_call{m_pages.empty() ? std::string() : m_pages.back().name, mayBeStale};
+        call.how = list_call{lastName(m_pages), mayBeStale};
     } else if (m_role.readsStore) {
         // A watch that the store lost ends only after its full wait time. While the store fails, a
         // watch without wait time detects its recovery sooner.
@@ -140,7 +149,13 @@
         m_nextCallAt = now;
         return std::nullopt;
     }
-    return onResponse(ended.call, std::get<store_answer>(ended.outcome), now);
+    const auto &answer = std::get<store_answer>(ended.outcome);
+    if (list != nullptr && answer.more && lastName(answer.objects, list->after) == list->after) {
+        // The next call would return the same page again.
+        onFailure(ended.call, store_failure::Malformed, now, random);
+        return std::nullopt;
+    }
+    return onResponse(ended.call, answer, now);
 }
 
 bool store_watcher::isOlderCopy(const store_call_ended &ended) const
@@ -191,7 +206,7 @@
         // The objects of a page can change before the next page is read, so the watch starts at the
         // oldest page.
         m_pagesRevision = std::min(m_pagesRevision.value_or(answer.revision), answer.revision);
-        if (answer.more && !answer.objects.empty())
+        if (answer.more)
             return std::nullopt;
         m_revision = *m_pagesRevision;
         if (!m_hasListed) {
--- a/tests/platform/document_codec_test.cpp
+++ b/tests/platform/document_codec_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(malformedRouteDocumentIsRejected);
     CPPUNIT_TEST(problemsOfRoutesHaveAPlace);
     CPPUNIT_TEST(unreadableObjectsDoNotAffectOthers);
+    CPPUNIT_TEST(objectsOfOtherWritersKeepTheirNames);
     CPPUNIT_TEST(changesAndRemovalsAreParsed);
     CPPUNIT_TEST(objectsThatAreNoJsonDoNotAffectOthers);
     CPPUNIT_TEST(evacuationNeedsOnlyAName);
@@ -66,8 +67,8 @@
     void malformedRegistrationIsRejected()
     {
         const json good = json::parse(serverText);
-        for (const char *field :
-             {"service", "address", "zone", "version", "capacity", "state", "coldRemainingMs"}) {
+        for (const char *field : {"service", "address", "zone", "version", "capacity", "state",
+                                  "coldRemainingMs", "sequence"}) {
             json missing = good;
             missing.erase(field);
             CPPUNIT_ASSERT(!readServer("i", parsed(missing)).ok());
@@ -87,6 +88,10 @@
                                                        {"capacity", 0},
                                                        {"capacity", -1},
                                                        {"capacity", "2"},
+                                                       {"capacity", 4294967298},
+                                                       {"address", "10.0.0.1:0"},
+                                                       {"address", "10.0.0.1:4294975376"},
+                                                       {"sequence", -1},
                                                        {"born", "1"},
                                                        {"born", 1.5}}) {
             json other = good;
@@ -187,6 +192,46 @@
         CPPUNIT_ASSERT(!readStoreAnswer(relay::store_object_kind::Servers, "{\"items\"").ok());
     }
 
+    /// Guards against one object of another writer that hides the others, or that hides its own
+    /// name so that lists do not continue behind it and watches do not say what changed.
+    void objectsOfOtherWritersKeepTheirNames()
+    {
+        const std::string deep = std::string(100'000, '[') + "1" + std::string(100'000, ']');
+        for (const std::string &spec :
+             {deep, std::string(R"({"capacity":1e999})"),
+              std::string(R"({"capacity":123456789012345678901234567890})"),
+              std::string(R"({"service":"\ud83d"})"), std::string("{\"service\":\"s\xff\"}"),
+              std::string("{\"service\":\"s\xc0\xaf\xed\xa0\x80\"}"),
+              std::string("{\"service\":\"a\x01b\nc\"}"), std::string("{\"service\":\"a\0b\"}", 17),
+              std::string(R"({"service":"\x"})"), std::string("\"\xf0\"")}) {
+            const std::string odd =
+                R"({"meta":{"name":"i-2","revision":5,"finalizers":[]},"spec":)" + spec + "}";
+            const std::string good =
+                std::string(R"({"meta":{"name":"i-1","revision":4},"spec":)") + serverText + "}";
+            const std::string list =
+                R"({"items":[)" + good + "," + odd + R"(],"hasMore":true,"currentRev":530})";
+            const std::string watch = R"({"events":[{"deleted":false,"object":)" + odd
+                + R"(},{"object":)" + good + R"(,"deleted":false}],"currentRev":530})";
+            for (const auto &[body, oddIndex] : {std::pair(list, 1), std::pair(watch, 0)}) {
+                const auto answer = readStoreAnswer(relay::store_object_kind::Servers, body);
+                CPPUNIT_ASSERT_MESSAGE(body.substr(0, 200), answer.ok());
+                CPPUNIT_ASSERT_EQUAL(std::size_t{2}, answer->objects.size());
+                const auto &unreadable = answer->objects[static_cast<std::size_t>(oddIndex)];
+                CPPUNIT_ASSERT(std::holds_alternative<relay::unusable_object>(unreadable.content));
+                CPPUNIT_ASSERT_EQUAL(std::string("i-2"), unreadable.name);
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, unreadable.revision);
+                CPPUNIT_ASSERT(std::holds_alternative<relay::registered_server>(
+                    answer->objects[static_cast<std::size_t>(1 - oddIndex)].content));
+                // Hosts that read the store through this one get it as an object of that name.
+                const auto passedOn =
+                    readStoreAnswer(relay::store_object_kind::Servers,
+                                    R"({"items":[)" + unreadable.text + R"(],"currentRev":1})");
+                CPPUNIT_ASSERT(passedOn.ok());
+                CPPUNIT_ASSERT_EQUAL(std::string("i-2"), passedOn->objects.at(0).name);
+            }
+        }
+    }
+
     void changesAndRemovalsAreParsed()
     {
         const std::string body = std::string(R"({"events":[{"deleted":false,"object":)")
--- a/tests/platform/routes_reader_test.cpp
+++ b/tests/platform/routes_reader_test.cpp
@@ -264,7 +264,8 @@
     {
         const std::string good = R"({"meta":{"name":"i-1","revision":4},"spec":{"service":"s1",)"
                                  R"("address":"10.0.0.1:80","zone":"z","version":"v1",)"
-                                 R"("capacity":2,"state":"ready","coldRemainingMs":0}})";
+                                 R"("capacity":2,"state":"ready","coldRemainingMs":0,)"
+                                 R"("sequence":1}})";
         const std::string bad = R"({"meta":{"name":"i-2","revision":4},"spec":{}})";
         const std::string items = fmt::format("[{},{}]", good, bad);
         for (const std::string &text :
--- a/tests/relay/store_watcher_test.cpp
+++ b/tests/relay/store_watcher_test.cpp
@@ -13,6 +13,7 @@
 {
     CPPUNIT_TEST_SUITE(store_watcher_test);
     CPPUNIT_TEST(listsAllPagesThenWatches);
+    CPPUNIT_TEST(listsContinueBehindObjectsWithoutNames);
     CPPUNIT_TEST(listsAgainOnlyWhenHistoryIsGone);
     CPPUNIT_TEST(retryDelayGrowsToItsLimit);
     CPPUNIT_TEST(watchesWithoutWaitWhileTheStoreFails);
@@ -65,6 +66,20 @@
         CPPUNIT_ASSERT(m_watcher.nextDeadline() == m_now + 300ms);
     }
 
+    /// Guards against a host that reads the same page without end, and keeps each copy in memory,
+    /// because the name of the last object cannot be read.
+    void listsContinueBehindObjectsWithoutNames()
+    {
+        store_call call = nextCall();
+        answer(call, {{{"a", 1, false, {}}, {"", 0, false, {}}}, true, 5});
+        call = nextCall();
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), std::get<list_call>(call.how).after);
+        CPPUNIT_ASSERT(!answer(call, {{{"", 0, false, {}}}, true, 5}).has_value());
+        CPPUNIT_ASSERT(*m_watcher.nextDeadline() > m_now);
+        call = nextCall();
+        CPPUNIT_ASSERT_EQUAL(std::string(), std::get<list_call>(call.how).after);
+    }
+
     /// Guards against a full list after every failed call, which costs far more than a watch.
     void listsAgainOnlyWhenHistoryIsGone()
     {
