Wait for callers that still read their answers before a stopping host exits

Cause: only requests without an answer counted as in progress. What was answered and not written yet was dropped with the process, and the listener's close ended kept connections with unsent bytes. Change: the process ends once callers and other hosts have taken what it buffers, at the latest at the end of the stop limit; idle connections are closed only when nothing is unsent on them. Test: answersToSlowReadersAreSentWhole. Entry hosts of our own interface have the same 50 ms and were not changed.

--- a/src/http/raw_server.cpp
+++ b/src/http/raw_server.cpp
@@ -342,6 +342,13 @@
         }));
 }
 
+bool raw_server::hasUnsentBytes() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+        return entry.second->transport->unsentBytes() > 0;
+    });
+}
+
 void raw_server::closeAfterAnswers()
 {
     m_closing = true;
@@ -382,7 +389,8 @@
     }
     if (!peer.parser.hasBegun()) {
         const bool isNew = peer.requests == 0 && now - peer.lastByte <= firstRequestTime;
-        return (m_listener == nullptr && !isNew && peer.transport->isQuiet())
+        const bool isIdle = peer.transport->unsentBytes() == 0 && peer.transport->isQuiet();
+        return (m_listener == nullptr && !isNew && isIdle)
             || now - peer.lastByte > m_settings.idleTimeout;
     }
     if (m_settings.arrivalTimeout && now - peer.requestBegan > *m_settings.arrivalTimeout)
--- a/src/http/raw_server.h
+++ b/src/http/raw_server.h
@@ -90,6 +90,9 @@
     /// Connections that may still carry a request. Those that have their last answer and wait for
     /// the peer to close do not count.
     std::size_t connections() const;
+    /// Whether peers have not taken all that was written to them. What the system buffers does not
+    /// count; it is sent after the process has ended, too.
+    bool hasUnsentBytes() const;
     /// Takes read delays from the clock of the loop, which must outlive the server. Without it they
     /// are 0.
     void measureReadDelays(const loop_clock &loop) { m_loop = &loop; }
--- a/src/relay_host/caller_server.h
+++ b/src/relay_host/caller_server.h
@@ -27,6 +27,8 @@
     void carryOut(const announce_close &action);
     /// Stops accepting connections.
     void carryOut(const close_callers &action);
+    /// Whether callers have not taken all of their answers.
+    bool hasUnsentBytes() const { return m_server->hasUnsentBytes(); }
     /// Address that the server is bound to.
     endpoint localEndpoint() const { return m_server->localEndpoint(); }
 
--- a/src/relay_host/peer_server.h
+++ b/src/relay_host/peer_server.h
@@ -27,6 +27,8 @@
     void carryOut(const answer_peer &action);
     /// Answers a forwarded request.
     void carryOut(const answer_forwarded &action);
+    /// Whether other hosts have not taken all of their answers.
+    bool hasUnsentBytes() const { return m_server->hasUnsentBytes(); }
     /// Address that the server is bound to.
     endpoint localEndpoint() const { return m_server->localEndpoint(); }
 
--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -17,7 +17,8 @@
 namespace waxwing::relay {
 namespace {
 
-/// Time to send the last answers between `exit_process` and the end of the event loop.
+/// Time to send the last answers between `exit_process` and the end of the event loop, and interval
+/// at which it is checked whether callers have taken them.
 constexpr timeval exitDelay{0, 50'000};
 /// Time between the decision to send a request to a server and its write from which it is logged.
 constexpr std::chrono::milliseconds minLoggedWriteDelay{100};
@@ -99,6 +100,7 @@
     m_readinessServer.reset();
     m_callerServer.reset();
     m_loop.reset();
+    m_exitTimer.reset();
     m_hangup.reset();
     m_flushTimer.reset();
     event_base_free(m_base);
@@ -165,7 +167,7 @@
             else if constexpr (std::is_same_v<kind, sample_metric>)
                 m_metrics.sample(each.name, each.value);
             else if constexpr (std::is_same_v<kind, exit_process>)
-                scheduleExit();
+                scheduleExit(each.by);
         },
         action);
 }
@@ -276,9 +278,23 @@
     m_loop->post(seeds_changed{changed->seeds});
 }
 
-void relay_process::scheduleExit()
+void relay_process::scheduleExit(time_point by)
 {
-    event_base_loopexit(m_base, &exitDelay);
+    m_exitBy = by;
+    m_exitTimer.reset(event_new(m_base, -1, EV_PERSIST, &onExitCheck, this));
+    event_add(m_exitTimer.get(), &exitDelay);
+}
+
+void relay_process::onExitCheck(int /*socket*/, short /*events*/, void *self)
+{
+    auto *owner = static_cast<relay_process *>(self);
+    const bool isUnsent =
+        owner->m_callerServer->hasUnsentBytes() || owner->m_peerServer->hasUnsentBytes();
+    if (isUnsent && owner->m_time.now() < owner->m_exitBy)
+        return;
+    if (isUnsent)
+        owner->m_log.write({log_level::Warning, "stopping with answers that were not taken", {}});
+    event_base_loopbreak(owner->m_base);
 }
 
 void relay_process::onFlush(int /*socket*/, short /*events*/, void *self)
--- a/src/relay_host/relay_process.h
+++ b/src/relay_host/relay_process.h
@@ -49,7 +49,9 @@
     void reload();
     void onRequestWritten(const http::call &request, duration delay);
     void onPassEnd();
-    void scheduleExit();
+    /// Ends the event loop once all answers are taken, at `by` at the latest.
+    void scheduleExit(time_point by);
+    static void onExitCheck(int socket, short events, void *self);
     static void onFlush(int socket, short events, void *self);
     static void onHangup(int signal, short events, void *self);
 
@@ -65,6 +67,8 @@
     event_base *m_base;
     http::event_ptr m_flushTimer;
     http::event_ptr m_hangup;
+    http::event_ptr m_exitTimer;
+    time_point m_exitBy{};
     std::unique_ptr<relay_loop> m_loop;
     std::unique_ptr<caller_server> m_callerServer;
     std::unique_ptr<http::server> m_readinessServer;
--- a/tests/http/server_stop_test.cpp
+++ b/tests/http/server_stop_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(answersConnectionsThatWaitToBeAccepted);
     CPPUNIT_TEST(answersTheFirstRequestOfANewConnection);
     CPPUNIT_TEST(answersRequestsInSocketBuffers);
+    CPPUNIT_TEST(answersToSlowReadersAreSentWhole);
     CPPUNIT_TEST(servesAgainAfterTheDescriptorTableWasFull);
     CPPUNIT_TEST(reportsThatNoConnectionCanBeOpened);
     CPPUNIT_TEST_SUITE_END();
@@ -50,11 +51,12 @@
 public:
     void setUp() override
     {
-        auto created = raw_server::create(
-            m_loop.base(), m_time, {},
-            {[this](request_id id, const raw_request & /*message*/) { m_server->respond(id, {}); },
-             [](request_id /*id*/) {},
-             {}});
+        auto created = raw_server::create(m_loop.base(), m_time, {},
+                                          {[this](request_id id, const raw_request & /*message*/) {
+                                               m_server->respond(id, {200, {}, m_body});
+                                           },
+                                           [](request_id /*id*/) {},
+                                           {}});
         CPPUNIT_ASSERT(created.ok());
         m_server = *std::move(created);
     }
@@ -104,6 +106,25 @@
         CPPUNIT_ASSERT(peer.received.find("Connection: close") != std::string::npos);
     }
 
+    /// Guards against answers that are cut off when a host stops, because callers on slow links
+    /// have not taken them yet.
+    void answersToSlowReadersAreSentWhole()
+    {
+        m_body.assign(std::size_t{16} << 20U, 'r');
+        raw_connection peer(m_server->localEndpoint());
+        peer.write(request);
+        m_loop.runUntil([this] { return m_server->hasUnsentBytes(); });
+        m_server->stopAccepting();
+        CPPUNIT_ASSERT(m_server->hasUnsentBytes());
+        m_loop.runUntil([&] {
+            peer.poll();
+            return peer.received.size() > m_body.size() || peer.closed;
+        });
+        CPPUNIT_ASSERT(peer.received.ends_with(std::string(1000, 'r')));
+        CPPUNIT_ASSERT(peer.received.size() > m_body.size());
+        CPPUNIT_ASSERT(!m_server->hasUnsentBytes());
+    }
+
     /// Guards against a host that ends, or accepts in a loop without end, because it has as many
     /// open files as it may have.
     void servesAgainAfterTheDescriptorTableWasFull()
@@ -163,6 +184,8 @@
 
     test_loop m_loop;
     system_clock m_time;
+    /// Body of the answers.
+    std::string m_body;
     std::unique_ptr<raw_server> m_server;
 };
 
