Do not add reported crashes to published counts that contain them

One collector had published the count of both before the other one got the second report, which then added it again. Change: a collector counts the starts that it knows of by itself; starts that a host publishes are reported to the collectors, too. Test: reportsDoNotAddToPublishedCounts.

--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -102,8 +102,10 @@
         return loss_verdict::TooManySuspects;
     known->servers.insert(lost.id);
     // The host that sees the next loss on the same start counts it, in case the server goes on.
-    if (known->reported.erase(lost.start) != 0)
+    if (known->reported.erase(lost.start) != 0) {
+        known->starts.insert(lost.start);
         return loss_verdict::SameEpisode;
+    }
     // Attempts sent before the last counted crash add no crash: the loss of a zone breaks many
     // connections at once.
     if (known->crashes != 0 && sent < known->countedAt)
@@ -126,7 +128,8 @@
 {
     if (known.crashes < m_settings.crashesToPublish)
         return;
-    known.unreported.clear();
+    // The collectors add up all crashes, including those that are already published.
+    onUnanswered(fingerprint);
     m_observations.push_back(
         {fmt::format("{:016x}", fingerprint), known.crashes, m_settings.listedFor});
 }
@@ -194,7 +197,11 @@
         || !known->reported.insert(report.start).second)
         return;
     known->expires = now + m_settings.listedFor;
-    raiseCrashCount(report.fingerprint, *known, known->crashes + 1, now);
+    // Another host may have published a count that contains this crash.
+    const auto counted = static_cast<std::uint32_t>(known->starts.size() + known->reported.size());
+    if (counted <= known->crashes)
+        return;
+    raiseCrashCount(report.fingerprint, *known, counted, now);
     publish(report.fingerprint, *known);
 }
 
--- a/tests/quarantine/request_quarantine_test.cpp
+++ b/tests/quarantine/request_quarantine_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(singleLossIsNotPublishedIfTwoAreRequired);
     CPPUNIT_TEST(crashIsReportedOnceItsRequestEndsUnanswered);
     CPPUNIT_TEST(reportsOfOneStartAreCountedOnce);
+    CPPUNIT_TEST(reportsDoNotAddToPublishedCounts);
     CPPUNIT_TEST(canaryWaveAddsLessThan8Milliseconds);
     CPPUNIT_TEST_SUITE_END();
 
@@ -233,10 +234,28 @@
         const auto published = quarantine.takeObservations();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, published.size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, published[0].crashes);
+        // A report that another collector has counted and published before.
+        quarantine.onFact({fact_kind::RequestQuarantined, "0000000000000001", {"b"}, 1, 2, 300s},
+                          now + 9ms);
+        quarantine.onReport({1, 11}, now + 10ms);
+        CPPUNIT_ASSERT(!quarantine.listedFor(1, now + 11ms).has_value());
         quarantine.onReport({1, 12}, now + 100ms);
         CPPUNIT_ASSERT(quarantine.listedFor(1, now + 101ms).has_value());
     }
 
+    /// Guards against requests that are refused after two crashes, because a collector adds a
+    /// report to a count of another collector that contains it.
+    void reportsDoNotAddToPublishedCounts()
+    {
+        request_quarantine quarantine({.crashesToList = 3, .crashesToPublish = 2});
+        const time_point now{1h};
+        quarantine.onReport({1, 10}, now);
+        quarantine.onFact({fact_kind::RequestQuarantined, "0000000000000001", {"b"}, 1, 2, 300s},
+                          now + 1ms);
+        quarantine.onReport({1, 11}, now + 2ms);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, quarantine.crashes(1, now + 3ms));
+    }
+
     /// Guards against a canary wave that takes longer than one typical leaf latency; prints the
     /// latencies of known and new requests.
     void canaryWaveAddsLessThan8Milliseconds()
