Show that responses cut in their head are never taken for whole ones

Operators of other systems saw: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. It cannot happen here: responsesCutInTheirHeadAreLost cuts three heads at each byte, with and without a reset and after an interim response; each call fails as lost.

--- a/tests/http/client_pool_test.cpp
+++ b/tests/http/client_pool_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(closesAnIdleConnectionOnWhichBytesArrive);
     CPPUNIT_TEST(tellsAResponseWithoutLengthFromABrokenOne);
     CPPUNIT_TEST(reportsTruncatedAndMalformedResponses);
+    CPPUNIT_TEST(responsesCutInTheirHeadAreLost);
     CPPUNIT_TEST(endsResponsesWithoutEnd);
     CPPUNIT_TEST(reportsThatNothingWasSent);
     CPPUNIT_TEST(doesNotReuseAConnectionWhoseRequestIsNotSentWhole);
@@ -153,6 +154,34 @@
         CPPUNIT_ASSERT(failureOf(2) == call_failure::Malformed);
     }
 
+    /// Guards against a response that ends in the middle of its head and is taken for a whole one
+    /// with an empty body. It may end there with or without a reset, and after an interim response.
+    void responsesCutInTheirHeadAreLost()
+    {
+        std::uint64_t id = 0;
+        for (const std::string &head :
+             {std::string("HTTP/1.1 200 OK\r\nX-Sign: a\r\nContent-Length: 12\r\n\r\n"),
+              std::string("HTTP/1.1 200 OK\r\nConnection: close\r\nX-Sign: a\r\n\r\n"),
+              std::string("HTTP/1.1 204 No Content\r\nX-Sign: a\r\n\r\n")}) {
+            for (const std::string &before :
+                 {std::string(), std::string("HTTP/1.1 102 X\r\n\r\n")}) {
+                for (std::size_t size = 1; size < head.size(); ++size) {
+                    send(++id);
+                    m_peer.write(id - 1, before + head.substr(0, size));
+                    m_loop.runUntil([] { return true; });
+                    if (size % 2 == 0)
+                        m_peer.close(id - 1);
+                    else
+                        m_peer.reset(id - 1);
+                    const auto &outcome = outcomeOf(id);
+                    CPPUNIT_ASSERT_MESSAGE(head.substr(0, size),
+                                           std::holds_alternative<call_failure>(outcome));
+                    CPPUNIT_ASSERT(std::get<call_failure>(outcome) != call_failure::ConnectFailed);
+                }
+            }
+        }
+    }
+
     /// Guards against a refused connection that is taken for a request that may have run.
     void reportsThatNothingWasSent()
     {
