Do not pass on a success without a signature

Cause: such an answer was not accepted as a success, but kept as the failure of the request and sent as it was, status 200, once no attempt was left. Change: it is tried again like any failed answer, and the request ends with 502 if none is left. Test: successWithoutSignatureIsNotPassedOn, for requests that may be repeated and ones that may not, to one server and to all shards.

--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -312,8 +312,12 @@
 void request_progress::handleErrorReply(std::size_t index, leaf_reply reply)
 {
     const bool final = isClientError(reply.status);
-    const std::string cause = fmt::format("status {}", reply.status);
-    m_request.failure = std::move(reply);
+    const std::string cause = reply.isSuccess() ? std::string("success without signature")
+                                                : fmt::format("status {}", reply.status);
+    // Nothing vouches for a success without a signature, so it is not passed on as a failure of the
+    // server either.
+    if (!reply.isSuccess())
+        m_request.failure = std::move(reply);
     if (!isIdempotent() || (final && !m_request.target->isFanOut())) {
         failPart(index, cause);
         return;
--- a/tests/relay/load_pattern_test.cpp
+++ b/tests/relay/load_pattern_test.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(requestsOfAPausedServiceAreRefusedWithItsEnd);
     CPPUNIT_TEST(atMostOnceRequestsRunAtMostOnce);
     CPPUNIT_TEST(crashingRequestCrashesAtMostFourServers);
+    CPPUNIT_TEST(successWithoutSignatureIsNotPassedOn);
     CPPUNIT_TEST(callerDisconnectEndsTheRequest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -426,6 +427,25 @@
         CPPUNIT_ASSERT(crashes <= 4);
     }
 
+    /// Guards against a success that nothing vouches for, such as one whose head was damaged, and
+    /// that is passed on once no attempt is left.
+    void successWithoutSignatureIsNotPassedOn()
+    {
+        for (const auto semantics :
+             {execution_semantics::Idempotent, execution_semantics::AtMostOnce}) {
+            simulation_layout layout;
+            layout.singleRepeats = semantics;
+            relay_simulation simulation(layout);
+            for (auto &[id, server] : simulation.leaves)
+                server.signs = false;
+            simulation.load("/one/", 2s, 4s, 100ms);
+            simulation.load("/all/", 2s, 4s, 100ms);
+            simulation.runUntil(8s);
+            for (const simulated_request &each : simulation.requests)
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(each.target, 502, each.status());
+        }
+    }
+
     /// Guards against requests that stay in progress after their caller has disconnected.
     void callerDisconnectEndsTheRequest()
     {
--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -738,7 +738,8 @@
                      --server.busySlots;
                      startNext(server);
                      leaf_reply content;
-                     content.signature = server.entry.id.value + " " + action.request->callerId;
+                     if (server.signs)
+                         content.signature = server.entry.id.value + " " + action.request->callerId;
                      content.body = std::string(16, 'r');
                      const bool lost = isDrawn(server.lostReplyRate);
                      if (lost || server.fault == fault_kind::LosesAllReplies) {
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -31,6 +31,8 @@
     time_point pausedUntil{};
     /// Whether the server announces in its answers that it is leaving.
     bool announcesLeaving = false;
+    /// Whether the server signs its answers.
+    bool signs = true;
     /// Time without requests that the server asks for when it refuses one.
     std::optional<std::chrono::milliseconds> pause;
     /// Requests a second from all hosts that the server names as its limit in its answers. It
