--- a/tests/relay/crashing_request_test.cpp
+++ b/tests/relay/crashing_request_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <string>
 
@@ -48,6 +49,25 @@
     return request.target.ends_with("/crash");
 }
 
+/// Fleet, and the pace at which a request that crashes servers comes again.
+struct fleet
+{
+    std::size_t hosts;
+    std::chrono::milliseconds interval;
+    std::uint64_t seed;
+
+    simulation_layout layout() const
+    {
+        simulation_layout result;
+        result.hosts = hosts;
+        result.seed = seed;
+        return result;
+    }
+};
+
+constexpr std::array<fleet, 5> fleets{
+    {{40, 2s, 1}, {40, 4s, 2}, {12, 700ms, 3}, {24, 6s, 4}, {76, 3s, 5}}};
+
 /// Sends a request that crashes servers every `interval` from 4 s on. `hostOf` returns the host
 /// that receives each try.
 template<typename Choose>
@@ -60,6 +80,13 @@
                       [&simulation, target, host = hostOf(i)] { simulation.send(host, target); });
 }
 
+/// The same until 64 s, at hosts that differ each time.
+void repeatCrashing(relay_simulation &simulation, const std::string &target, const fleet &sender)
+{
+    repeatCrashing(simulation, target, static_cast<int>(60s / sender.interval), sender.interval,
+                   [&sender](int i) { return 7 * static_cast<std::size_t>(i) % sender.hosts; });
+}
+
 /// A request that crashes each server that runs it comes again at any host, with the same path,
 /// caller and body.
 class crashing_request_test : public CppUnit::TestFixture
@@ -79,26 +106,27 @@
     /// others.
     void crashesSeenByDifferentHostsAreAddedUp()
     {
-        simulation_layout layout;
-        layout.hosts = 40;
-        layout.singleRepeats = execution_semantics::AtMostOnce;
-        relay_simulation simulation(layout);
-        simulation.load("/one/", 3s, 70s, 50ms);
-        repeatCrashing(simulation, "/one/crash", 30, 2s, [](int i) { return 7 * i % 40; });
-        simulation.runUntil(72s);
-        checkLateTries(simulation);
+        for (const fleet &each : fleets) {
+            simulation_layout layout = each.layout();
+            layout.singleRepeats = execution_semantics::AtMostOnce;
+            relay_simulation simulation(layout);
+            simulation.load("/one/", 3s, 70s, 50ms);
+            repeatCrashing(simulation, "/one/crash", each);
+            simulation.runUntil(72s);
+            checkLateTries(simulation);
+        }
     }
 
     /// Guards against the same for a request to all shards, which one of several hosts carries out.
     void crashingFanOutsSeenByDifferentHostsAreAddedUp()
     {
-        simulation_layout layout;
-        layout.hosts = 40;
-        relay_simulation simulation(layout);
-        simulation.load("/all/", 3s, 70s, 50ms);
-        repeatCrashing(simulation, "/all/crash", 15, 4s, [](int i) { return 7 * i % 40; });
-        simulation.runUntil(72s);
-        checkLateTries(simulation);
+        for (const fleet &each : fleets) {
+            relay_simulation simulation(each.layout());
+            simulation.load("/all/", 3s, 70s, 50ms);
+            repeatCrashing(simulation, "/all/crash", each);
+            simulation.runUntil(72s);
+            checkLateTries(simulation);
+        }
     }
 
     /// Guards against answers to other callers that clear the request of one caller, and against
