--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -101,7 +101,7 @@
     if (known == nullptr)
         return loss_verdict::TooManySuspects;
     known->servers.insert(lost.id);
-    // The host that sees the next loss on the same start counts it, in case the server goes on.
+    // Counted from a report already. A later loss on this start counts, since the server went on.
     if (known->reported.erase(lost.start) != 0) {
         known->starts.insert(lost.start);
         return loss_verdict::SameEpisode;
@@ -128,8 +128,12 @@
 {
     if (known.crashes < m_settings.crashesToPublish)
         return;
-    // The collectors add up all crashes, including those that are already published.
-    onUnanswered(fingerprint);
+    // Hosts that publish every crash have nothing to report. Otherwise the collectors add up all
+    // crashes, including those that are published.
+    if (m_settings.crashesToPublish > 1)
+        onUnanswered(fingerprint);
+    else
+        known.unreported.clear();
     m_observations.push_back(
         {fmt::format("{:016x}", fingerprint), known.crashes, m_settings.listedFor});
 }
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -115,7 +115,7 @@
     /// Called when a backend server answered the request. Clears its suspicion unless it is
     /// refused.
     void onAnswer(std::uint64_t fingerprint, time_point now);
-    /// Called when the connection to `server` was lost while the request, sent at `sent`, was in
+    /// Called when the connection to `lost` broke while the request, sent at `sent`, was in
     /// progress.
     loss_verdict onConnectionLost(const service_id &service, std::uint64_t fingerprint,
                                   const lost_server &lost, time_point sent, time_point now);
--- a/src/relay/leaf_pool.h
+++ b/src/relay/leaf_pool.h
@@ -178,6 +178,7 @@
     absl::flat_hash_map<service_id, leaf_list> m_services;
     /// Servers by `observationKey`; empty unless observations are shared.
     absl::flat_hash_map<std::uint64_t, std::shared_ptr<leaf>> m_observed;
+    /// For `takeEnded`.
     std::vector<std::uint64_t> m_ended;
     /// Start times of servers that left. An older copy of the store may list them again.
     std::map<server_id, std::int64_t> m_departed;
--- a/tests/platform/document_codec_test.cpp
+++ b/tests/platform/document_codec_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/document_codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -204,14 +205,16 @@
               std::string("{\"service\":\"s\xc0\xaf\xed\xa0\x80\"}"),
               std::string("{\"service\":\"a\x01b\nc\"}"), std::string("{\"service\":\"a\0b\"}", 17),
               std::string(R"({"service":"\x"})"), std::string("\"\xf0\"")}) {
-            const std::string odd =
-                R"({"meta":{"name":"i-2","revision":5,"finalizers":[]},"spec":)" + spec + "}";
+            const std::string odd = fmt::format(
+                R"({{"meta":{{"name":"i-2","revision":5,"finalizers":[]}},"spec":{}}})", spec);
             const std::string good =
-                std::string(R"({"meta":{"name":"i-1","revision":4},"spec":)") + serverText + "}";
+                fmt::format(R"({{"meta":{{"name":"i-1","revision":4}},"spec":{}}})", serverText);
             const std::string list =
-                R"({"items":[)" + good + "," + odd + R"(],"hasMore":true,"currentRev":530})";
-            const std::string watch = R"({"events":[{"deleted":false,"object":)" + odd
-                + R"(},{"object":)" + good + R"(,"deleted":false}],"currentRev":530})";
+                fmt::format(R"({{"items":[{},{}],"hasMore":true,"currentRev":530}})", good, odd);
+            const std::string watch = fmt::format(
+                R"({{"events":[{{"deleted":false,"object":{}}},{{"object":{},"deleted":false}}],)"
+                R"("currentRev":530}})",
+                odd, good);
             for (const auto &[body, oddIndex] : {std::pair(list, 1), std::pair(watch, 0)}) {
                 const auto answer = readStoreAnswer(relay::store_object_kind::Servers, body);
                 CPPUNIT_ASSERT_MESSAGE(body.substr(0, 200), answer.ok());
@@ -223,9 +226,9 @@
                 CPPUNIT_ASSERT(std::holds_alternative<relay::registered_server>(
                     answer->objects[static_cast<std::size_t>(1 - oddIndex)].content));
                 // Hosts that read the store through this one get it as an object of that name.
-                const auto passedOn =
-                    readStoreAnswer(relay::store_object_kind::Servers,
-                                    R"({"items":[)" + unreadable.text + R"(],"currentRev":1})");
+                const auto passedOn = readStoreAnswer(
+                    relay::store_object_kind::Servers,
+                    fmt::format(R"({{"items":[{}],"currentRev":1}})", unreadable.text));
                 CPPUNIT_ASSERT(passedOn.ok());
                 CPPUNIT_ASSERT_EQUAL(std::string("i-2"), passedOn->objects.at(0).name);
             }
--- a/tests/quarantine/request_quarantine_test.cpp
+++ b/tests/quarantine/request_quarantine_test.cpp
@@ -173,14 +173,14 @@
         request_quarantine quarantine({});
         const time_point now{1h};
         const auto fingerprint = requestFingerprint({"desk"}, "q");
-        quarantine.onConnectionLost({"desk"}, fingerprint, {"a"}, now - 5ms, now);
+        quarantine.onConnectionLost({"desk"}, fingerprint, {{"a"}}, now - 5ms, now);
         const auto seen = quarantine.takeObservations();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, seen.size());
         const fact other{fact_kind::RequestQuarantined, seen[0].subject, {"other"}, 1, 1, 300s};
         quarantine.onFact(other, now + 1ms);
-        quarantine.onConnectionLost({"desk"}, fingerprint, {"b"}, now - 2ms, now + 2ms);
+        quarantine.onConnectionLost({"desk"}, fingerprint, {{"b"}}, now - 2ms, now + 2ms);
         CPPUNIT_ASSERT(!quarantine.listedFor(fingerprint, now + 3ms).has_value());
-        quarantine.onConnectionLost({"desk"}, fingerprint, {"c"}, now + 3ms, now + 6ms);
+        quarantine.onConnectionLost({"desk"}, fingerprint, {{"c"}}, now + 3ms, now + 6ms);
         CPPUNIT_ASSERT(quarantine.listedFor(fingerprint, now + 7ms).has_value());
     }
 
@@ -191,12 +191,12 @@
         request_quarantine quarantine({.crashesToList = 3, .crashesToPublish = 2});
         const time_point now{1h};
         const auto lost = requestFingerprint({"desk"}, "lost answer");
-        quarantine.onConnectionLost({"desk"}, lost, {"a"}, now - 5ms, now);
+        quarantine.onConnectionLost({"desk"}, lost, {{"a"}}, now - 5ms, now);
         quarantine.onAnswer(lost, now + 5ms);
         CPPUNIT_ASSERT(quarantine.takeObservations().empty());
         const auto harmful = requestFingerprint({"desk"}, "harmful");
-        quarantine.onConnectionLost({"desk"}, harmful, {"a"}, now + 10ms, now + 15ms);
-        quarantine.onConnectionLost({"desk"}, harmful, {"b"}, now + 20ms, now + 25ms);
+        quarantine.onConnectionLost({"desk"}, harmful, {{"a"}}, now + 10ms, now + 15ms);
+        quarantine.onConnectionLost({"desk"}, harmful, {{"b"}}, now + 20ms, now + 25ms);
         const auto published = quarantine.takeObservations();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, published.size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, published[0].crashes);
