Give the recorded entry of the compatibility test its sequence

The platform's page lists sequence among the fields of every entry, and hosts pass entries on unchanged, so no host sends such an entry of a real server. The recording stays as it is; the test checks that its entry is unusable, adds the field, and then checks all that it checked before.

--- a/tests/compatibility/compatibility_test.cpp
+++ b/tests/compatibility/compatibility_test.cpp
@@ -156,6 +156,12 @@
         call.kind = relay::store_object_kind::Servers;
         http::raw_response response = responseOf(recorded("store_answer.bin"));
         CPPUNIT_ASSERT(m_wire.readStoreEra(response) == 3U);
+        // The entry was recorded without a field that every entry of a server has. A host passes
+        // entries on as they are, so one without it is no server on any host.
+        const auto incomplete = m_wire.readStoreOutcome(call, response);
+        CPPUNIT_ASSERT(std::holds_alternative<relay::unusable_object>(
+            std::get<relay::store_answer>(incomplete).objects.at(0).content));
+        response.content.body.insert(response.content.body.find(R"("born")"), R"("sequence":7,)");
         for (const bool hasUnknownField : {false, true}) {
             if (hasUnknownField) {
                 std::string &body = response.content.body;
