Log responses that may answer another request of their connection

What operators saw: requests that must run once run twice, and nothing in the log of a host says which response it took for which request.

The pool of connections reports responses in doubt: with the id of another request (dropped), with an id that an earlier request on the connection had too, and without an id on a connection that was used before. Hosts count them, and log the first two with request, attempt, server and status. No decision changes.

--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -1,6 +1,7 @@
 #include "http/client_pool.h"
 
 #include "core/text.h"
+#include "http/request_id_history.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
@@ -31,6 +32,12 @@
     std::optional<call> current;
     /// Whether the call in progress was written.
     bool written = false;
+    /// Whether an earlier call had the echo value of the call in progress.
+    bool repeatsValue = false;
+    /// Whether a call was written before the call in progress.
+    bool hadCall = false;
+    /// Echo values of the calls that were written.
+    request_id_history values;
     /// Responses that came before that to the call in progress and were dropped.
     std::uint32_t dropped = 0;
     /// Whether it may serve a further call after the current one.
@@ -126,6 +133,9 @@
         target.transport->write(withField(std::move(request.bytes), request.deadline->field,
                                           std::to_string(stated.count())));
     }
+    target.hadCall = target.proven;
+    target.repeatsValue = target.values.contains(request.echoValue);
+    target.values.add(request.echoValue);
     target.written = true;
 }
 
@@ -166,19 +176,28 @@
     }
 }
 
-bool client_pool::belongsToEarlierCall(const connection &target, const raw_response &response) const
+std::optional<response_doubt> client_pool::doubtOf(const connection &target,
+                                                   const raw_response &response) const
 {
-    const std::string *echoed = target.current->echoField.empty()
-        ? nullptr
-        : findField(response.content.headers, target.current->echoField);
-    return echoed != nullptr && *echoed != target.current->echoValue;
+    const call &request = *target.current;
+    if (request.echoField.empty())
+        return std::nullopt;
+    const std::string *echoed = findField(response.content.headers, request.echoField);
+    if (echoed != nullptr && *echoed != request.echoValue)
+        return response_doubt::OtherValue;
+    if (echoed == nullptr)
+        return target.hadCall ? std::optional(response_doubt::NoValue) : std::nullopt;
+    return target.repeatsValue ? std::optional(response_doubt::RepeatedValue) : std::nullopt;
 }
 
 void client_pool::complete(connection &target, std::string_view rest)
 {
     raw_response response = target.parser.takeResponse();
     const bool isInterim = response.content.status < firstFinalStatus;
-    if (isInterim || belongsToEarlierCall(target, response)) {
+    const auto doubt = isInterim ? std::nullopt : doubtOf(target, response);
+    if (doubt.has_value() && m_onDoubt)
+        m_onDoubt(*target.current, response, *doubt);
+    if (isInterim || doubt == response_doubt::OtherValue) {
         target.reusable = target.reusable && isInterim;
         if (++target.dropped > m_settings.maxDroppedResponses)
             finish(target, call_failure::Malformed, false);
--- a/src/http/client_pool.h
+++ b/src/http/client_pool.h
@@ -92,6 +92,16 @@
     bool operator==(const call &) const = default;
 };
 
+/// Why it is not certain that a response answers the call in progress on its connection.
+enum class response_doubt {
+    /// It repeats the value of another call and is dropped.
+    OtherValue,
+    /// An earlier call on the connection had the same value.
+    RepeatedValue,
+    /// It has no value, and the connection carried an earlier call.
+    NoValue,
+};
+
 /// HTTP/1.1 calls over kept connections, one call at a time on each.
 ///
 /// A connection on which anything unexpected came is not used again.
@@ -107,6 +117,8 @@
     /// Called when a call is written on a connection that had to be opened for it, with the time
     /// since `send`.
     using write_observer = std::function<void(const call &, duration)>;
+    /// Called for each final response to a call with an echo field that is in doubt.
+    using doubt_observer = std::function<void(const call &, const raw_response &, response_doubt)>;
 
     /// `time` must outlive the pool. `onConnect` may be empty.
     client_pool(event_base *base, const clock &time, client_pool_settings settings, callback onDone,
@@ -120,6 +132,8 @@
     void observeInterim(interim_observer onInterim) { m_onInterim = std::move(onInterim); }
     /// Sets an observer of writes; none at first.
     void observeWrites(write_observer onWritten) { m_onWritten = std::move(onWritten); }
+    /// Sets an observer of responses that are in doubt; none at first.
+    void observeDoubts(doubt_observer onDoubt) { m_onDoubt = std::move(onDoubt); }
     /// Sends a request on the connection that was used last, or on a new one.
     void send(call request);
     /// Ends a call by closing its connection. Its callback is not called.
@@ -143,7 +157,8 @@
     void writeCall(connection &target);
     void onBytes(connection &target, std::string_view bytes);
     void onEnd(connection &target, stream_end reason);
-    bool belongsToEarlierCall(const connection &target, const raw_response &response) const;
+    std::optional<response_doubt> doubtOf(const connection &target,
+                                          const raw_response &response) const;
     void complete(connection &target, std::string_view rest);
     void finish(connection &target, outcome result, bool reusable);
     call_failure lossOf(const connection &target) const;
@@ -159,6 +174,7 @@
     connect_observer m_onConnect;
     write_observer m_onWritten;
     interim_observer m_onInterim;
+    doubt_observer m_onDoubt;
     std::map<endpoint, connection_list> m_peers;
     absl::flat_hash_map<std::uint64_t, connection *> m_calls;
     /// Closed connections, destroyed outside of their own callbacks.
--- a/src/relay_host/leaf_client.cpp
+++ b/src/relay_host/leaf_client.cpp
@@ -24,6 +24,11 @@
     m_calls.connections().observeWrites(std::move(onWritten));
 }
 
+void leaf_client::observeDoubts(http::client_pool::doubt_observer onDoubt)
+{
+    m_calls.connections().observeDoubts(std::move(onDoubt));
+}
+
 void leaf_client::carryOut(const send_to_leaf &action)
 {
     m_calls.connections().send(m_codec.formatLeafCall(action));
--- a/src/relay_host/leaf_client.h
+++ b/src/relay_host/leaf_client.h
@@ -17,6 +17,8 @@
 
     /// Sets an observer of requests for which a connection had to be opened; none at first.
     void observeWrites(http::client_pool::write_observer onWritten);
+    /// Sets an observer of responses that may not answer the request in progress; none at first.
+    void observeDoubts(http::client_pool::doubt_observer onDoubt);
 
     /// Posts `leaf_answered` or `leaf_failed` when the attempt ends.
     void carryOut(const send_to_leaf &action);
--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -50,6 +50,19 @@
     return (carryOutIfSupported(shells) || ...);
 }
 
+std::string doubtName(http::response_doubt doubt)
+{
+    switch (doubt) {
+    case http::response_doubt::OtherValue:
+        return "other_id";
+    case http::response_doubt::RepeatedValue:
+        return "repeated_id";
+    case http::response_doubt::NoValue:
+        return "no_id";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<relay_process>>
@@ -82,6 +95,9 @@
                                                  m_codec, m_metrics, sink);
     m_leafClient->observeWrites(
         [this](const http::call &request, duration delay) { onRequestWritten(request, delay); });
+    m_leafClient->observeDoubts(
+        [this](const http::call &request, const http::raw_response &response,
+               http::response_doubt doubt) { onResponseInDoubt(request, response, doubt); });
     m_forwarder = std::make_unique<request_forwarder>(m_base, m_time, m_codec, sink);
     store_client_settings store;
     store.address = m_settings.store;
@@ -187,6 +203,25 @@
            std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(delay).count())}}});
 }
 
+void relay_process::onResponseInDoubt(const http::call &request, const http::raw_response &response,
+                                      http::response_doubt doubt)
+{
+    const std::string name = doubtName(doubt);
+    m_metrics.count("relay_leaf_responses_in_doubt_total_" + name);
+    // Servers that repeat no ids send all their responses without one.
+    if (doubt == http::response_doubt::NoValue)
+        return;
+    const std::string *echoed = http::findField(response.content.headers, request.echoField);
+    m_log.write({log_level::Info,
+                 "a response of a backend server may answer another request",
+                 {{"request", request.echoValue},
+                  {"attempt", std::to_string(request.id.value)},
+                  {"doubt", name},
+                  {"response_to", echoed == nullptr ? "" : *echoed},
+                  {"status", std::to_string(response.content.status)},
+                  {"address", request.peer.toString()}}});
+}
+
 void relay_process::onPassEnd()
 {
     if (auto line = m_profile.finish(m_time.lastPassTime(), m_loop->handledEvents()))
--- a/src/relay_host/relay_process.h
+++ b/src/relay_host/relay_process.h
@@ -48,6 +48,8 @@
     void respondToMetricsRequest(const http::request &message, http::responder reply) const;
     void reload();
     void onRequestWritten(const http::call &request, duration delay);
+    void onResponseInDoubt(const http::call &request, const http::raw_response &response,
+                           http::response_doubt doubt);
     void onPassEnd();
     /// Ends the event loop once all answers are taken, at `by` at the latest.
     void scheduleExit(time_point by);
