Send no id twice on a connection to a backend server

Cause: a host tries a refused request again at the same server, mostly on the same connection, and the pool tells responses apart by the id of the request only. A late copy of the refusal has that id, so it was taken for the response to the next try, which the server had accepted. The same held for callers who repeat an id, for requests forwarded between hosts, and for requests without an id, whose responses cannot be told apart at all.

Change: a connection remembers the ids that it carried (request_id_history) and carries none a second time. If all idle connections have carried the id, a new one replaces one of them, so that a server gets no more connections.

--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -17,6 +17,12 @@
 /// First status code that is a final one.
 constexpr int firstFinalStatus = 200;
 
+/// Whether a late copy of the response to `request` differs from the response to a later call.
+bool canTellCopies(const call &request)
+{
+    return request.echoField.empty() || !request.echoValue.empty();
+}
+
 } // namespace
 
 /// Connection to a peer.
@@ -32,8 +38,6 @@
     std::optional<call> current;
     /// Whether the call in progress was written.
     bool written = false;
-    /// Whether an earlier call had the echo value of the call in progress.
-    bool repeatsValue = false;
     /// Whether a call was written before the call in progress.
     bool hadCall = false;
     /// Echo values of the calls that were written.
@@ -65,15 +69,19 @@
 
 void client_pool::send(call request)
 {
-    connection *target = findIdle(request.peer);
-    if (target == nullptr)
+    connection *target = findIdle(request, history_kind::New);
+    if (target == nullptr) {
+        // The peer has room for a limited number of connections.
+        if (connection *replaced = findIdle(request, history_kind::Repeated))
+            close(*replaced);
         target = &open(request.peer);
+    }
     begin(*target, std::move(request));
 }
 
-client_pool::connection *client_pool::findIdle(const endpoint &peer)
+client_pool::connection *client_pool::findIdle(const call &request, history_kind history)
 {
-    const auto known = m_peers.find(peer);
+    const auto known = m_peers.find(request.peer);
     if (known == m_peers.end())
         return nullptr;
     const time_point now = m_time.now();
@@ -81,9 +89,12 @@
     for (const auto &candidate : known->second) {
         const bool usable = !candidate->current.has_value() && candidate->reusable
             && candidate->transport->isConnected() && now < candidate->expires;
+        if (!usable || (latest != nullptr && latest->expires >= candidate->expires))
+            continue;
+        const bool repeated =
+            !request.echoField.empty() && candidate->values.contains(request.echoValue);
         // The close of the peer may have arrived without having been read yet.
-        if (usable && candidate->transport->isQuiet()
-            && (latest == nullptr || latest->expires < candidate->expires))
+        if (repeated == (history == history_kind::Repeated) && candidate->transport->isQuiet())
             latest = candidate.get();
     }
     return latest;
@@ -134,8 +145,8 @@
                                           std::to_string(stated.count())));
     }
     target.hadCall = target.proven;
-    target.repeatsValue = target.values.contains(request.echoValue);
-    target.values.add(request.echoValue);
+    if (!request.echoField.empty())
+        target.values.add(request.echoValue);
     target.written = true;
 }
 
@@ -185,9 +196,8 @@
     const std::string *echoed = findField(response.content.headers, request.echoField);
     if (echoed != nullptr && *echoed != request.echoValue)
         return response_doubt::OtherValue;
-    if (echoed == nullptr)
-        return target.hadCall ? std::optional(response_doubt::NoValue) : std::nullopt;
-    return target.repeatsValue ? std::optional(response_doubt::RepeatedValue) : std::nullopt;
+    return echoed == nullptr && target.hadCall ? std::optional(response_doubt::NoValue)
+                                               : std::nullopt;
 }
 
 void client_pool::complete(connection &target, std::string_view rest)
@@ -209,7 +219,8 @@
     }
     target.proven = true;
     const bool reusable = target.reusable && response.keepAlive && rest.empty()
-        && target.transport->unsentBytes() == 0;
+        && target.transport->unsentBytes() == 0 && !target.values.isFull()
+        && canTellCopies(*target.current);
     target.expires = m_time.now() + idleTimeOf(response);
     finish(target, std::move(response), reusable);
 }
--- a/src/http/client_pool.h
+++ b/src/http/client_pool.h
@@ -84,7 +84,7 @@
     /// Header field whose value the response must repeat if it has the field; a response with
     /// another value belongs to an earlier request and is dropped. Empty for none.
     std::string echoField;
-    /// Value of the field.
+    /// Value of the field. Empty if the request has none.
     std::string echoValue;
     /// Empty for a call that is not limited.
     std::optional<call_deadline> deadline{};
@@ -96,15 +96,15 @@
 enum class response_doubt {
     /// It repeats the value of another call and is dropped.
     OtherValue,
-    /// An earlier call on the connection had the same value.
-    RepeatedValue,
     /// It has no value, and the connection carried an earlier call.
     NoValue,
 };
 
 /// HTTP/1.1 calls over kept connections, one call at a time on each.
 ///
-/// A connection on which anything unexpected came is not used again.
+/// A connection on which anything unexpected came is not used again. No two calls with the same
+/// echo value use the same connection, since a late copy of the response to the first would be
+/// taken for the response to the second.
 class client_pool
 {
 public:
@@ -134,7 +134,8 @@
     void observeWrites(write_observer onWritten) { m_onWritten = std::move(onWritten); }
     /// Sets an observer of responses that are in doubt; none at first.
     void observeDoubts(doubt_observer onDoubt) { m_onDoubt = std::move(onDoubt); }
-    /// Sends a request on the connection that was used last, or on a new one.
+    /// Sends a request on the connection that was used last, or on a new one. If all idle
+    /// connections have carried its echo value, the new one replaces one of them.
     void send(call request);
     /// Ends a call by closing its connection. Its callback is not called.
     void cancel(attempt_id id);
@@ -150,7 +151,10 @@
     using connection_list = std::vector<std::unique_ptr<connection>>;
 
     static void onSweep(int socket, short events, void *self);
-    connection *findIdle(const endpoint &peer);
+    /// Whether an idle connection may carry a call, or may not because it carried its echo value.
+    enum class history_kind { New, Repeated };
+    /// The idle connection to the peer of `request` that was used last among those of `history`.
+    connection *findIdle(const call &request, history_kind history);
     connection &open(const endpoint &peer);
     void begin(connection &target, call request);
     void onConnected(connection &target);
--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -55,8 +55,6 @@
     switch (doubt) {
     case http::response_doubt::OtherValue:
         return "other_id";
-    case http::response_doubt::RepeatedValue:
-        return "repeated_id";
     case http::response_doubt::NoValue:
         return "no_id";
     }
--- a/tests/relay_host/late_answer_test.cpp
+++ b/tests/relay_host/late_answer_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST_SUITE(late_answer_test);
     CPPUNIT_TEST(secondCopyOfAForwardedAnswerIsDropped);
     CPPUNIT_TEST(secondCopyInPiecesIsDropped);
+    CPPUNIT_TEST(secondCopyIsNotTheAnswerToARepeatOfTheCaller);
     CPPUNIT_TEST(secondCopyOfAStoreAnswerIsDropped);
     CPPUNIT_TEST(restOfACancelledAnswerReachesNoOtherCall);
     CPPUNIT_TEST(storeAnswersOfHostsWithoutEchoAreAccepted);
@@ -81,6 +82,21 @@
                              std::get<forward_answered>(waitForOutcome()).reply.body);
     }
 
+    /// Guards against a caller who repeats its id and gets the answer to its earlier request.
+    void secondCopyIsNotTheAnswerToARepeatOfTheCaller()
+    {
+        forward(1, "id");
+        const std::string first = forwardedAnswer(takeRequest(), merged_answer{{"s1"}, 0, "one"});
+        m_peer->write(0, first);
+        waitForOutcome();
+        forward(2, "id");
+        const std::string second = forwardedAnswer(takeRequest(), merged_answer{{"s2"}, 0, "two"});
+        m_peer->write(0, first);
+        m_peer->write(m_peer->peers.size() - 1, second);
+        CPPUNIT_ASSERT_EQUAL(std::string("two"),
+                             std::get<forward_answered>(waitForOutcome()).reply.body);
+    }
+
     /// Guards against a copy of the routes that is read as the list of servers, or older servers as
     /// newer ones.
     void secondCopyOfAStoreAnswerIsDropped()
@@ -165,12 +181,13 @@
         CPPUNIT_ASSERT(http::findField(answered.reply.fields, "X-Waxwingdyke-Request-Id")
                        == nullptr);
     }
-    void forward(std::uint64_t number)
+    void forward(std::uint64_t number) { forward(number, "id-" + std::to_string(number)); }
+    void forward(std::uint64_t number, const std::string &callerId)
     {
         relay_request request;
         request.method = "GET";
         request.target = "/a";
-        request.callerId = "id-" + std::to_string(number);
+        request.callerId = callerId;
         request.fields = {{"Host", "x"}, {"X-Waxwingdyke-Request-Id", request.callerId}};
         m_forwarder->carryOut(forward_request{{number},
                                               {{"host-1"}, 7, 2},
--- a/tests/relay_host/leaf_client_test.cpp
+++ b/tests/relay_host/leaf_client_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST_SUITE(leaf_client_test);
     CPPUNIT_TEST(statesTheTimeThatIsLeftAtTheWrite);
     CPPUNIT_TEST(sendsNothingAfterTheDeadline);
+    CPPUNIT_TEST(lateCopyOfARefusalIsNotTheAnswerToTheNextTry);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,19 +63,50 @@
         CPPUNIT_ASSERT(failed != nullptr && failed->reason == leaf_failure::DeadlinePassed);
     }
 
+    /// Guards against a request that runs twice: its server refuses the first try, accepts the
+    /// second one, and sends the refusal once more in front of the answer.
+    void lateCopyOfARefusalIsNotTheAnswerToTheNextTry()
+    {
+        const std::string id = "X-Waxwingdyke-Request-Id: id-1\r\n";
+        const std::string refusal = "HTTP/1.1 503 X\r\n" + id
+            + "X-Waxwingdyke-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        sendTry(1);
+        m_peer.write(0, refusal);
+        m_loop.runUntil([this] { return m_events.size() == 1; });
+        CPPUNIT_ASSERT(std::get<leaf_answered>(m_events[0]).reply.notRun);
+        sendTry(2);
+        m_peer.write(0, refusal);
+        m_peer.write(m_peer.peers.size() - 1,
+                     "HTTP/1.1 200 X\r\n" + id + "Content-Length: 0\r\n\r\n");
+        m_loop.runUntil([this] { return m_events.size() == 2; });
+        const auto &answered = std::get<leaf_answered>(m_events[1]);
+        CPPUNIT_ASSERT(answered.attempt == attempt_id{2});
+        CPPUNIT_ASSERT_EQUAL(200, answered.reply.status);
+    }
+
 private:
-    void send(std::chrono::milliseconds timeLeft)
+    void send(std::chrono::milliseconds timeLeft, std::uint64_t attempt = 1)
     {
         relay_request request;
         request.method = "GET";
         request.target = "/a/b";
         request.callerId = "id-1";
-        m_client->carryOut(send_to_leaf{{1},
+        m_client->carryOut(send_to_leaf{{attempt},
                                         {"server-1"},
                                         m_peer.address(),
                                         std::make_shared<const relay_request>(request),
                                         m_time.at + timeLeft});
     }
+    /// Sends the request and waits for its arrival.
+    void sendTry(std::uint64_t attempt)
+    {
+        m_peer.received.clear();
+        send(500ms, attempt);
+        m_loop.runUntil([this] {
+            m_peer.poll();
+            return m_peer.received.ends_with("\r\n\r\n");
+        });
+    }
     /// Time in the request that the server received, in milliseconds.
     int statedTimeLeft() const
     {
