Let the soak send late copies of refusals

The soak closes the connections that callers kept, which printed "Event loop is closed" at the end of each seed.

--- a/tools/relay_soak/hosts.py
+++ b/tools/relay_soak/hosts.py
@@ -136,9 +136,9 @@
             if self.process and self.process.returncode is None:
                 return
             self.write_settings()
-            log = open(self.folder / f"host-{self.number}.log", "a")
-            self.process = await asyncio.create_subprocess_exec(
-                str(self.binary), "--settings", str(self.settings), stdout=log, stderr=log)
+            with open(self.folder / f"host-{self.number}.log", "a") as log:
+                self.process = await asyncio.create_subprocess_exec(
+                    str(self.binary), "--settings", str(self.settings), stdout=log, stderr=log)
         self.stopping = False
         self.interrupted_at = asyncio.get_running_loop().time()
         self.disturb(1.0)
--- a/tools/relay_soak/soak.py
+++ b/tools/relay_soak/soak.py
@@ -10,6 +10,9 @@
 SHARDS = [f"shard-{n}" for n in range(5)]
 SERVER_FAULTS = ("silent", "refuses", "fails", "loses", "truncates", "doubles", "slow", "pause",
                  "down", "leaves", "pauses", "limits", "misreports")
+PRODUCT_FAULTS = ("kill", "freeze", "stop", "hang_up", "store_mode", "store_path", "server_fault",
+                  "server_path", "drain", "lapse", "change_routes", "forget", "caller_path",
+                  "kill_all", "restore_store")
 # Time in which requests to a server that announced its departure end.
 DRAIN_TIME = 3.0
 # Time from the first statement of a limit until it is kept, and window in which requests count.
@@ -68,6 +71,9 @@
             await self.load(faults)
             await self.calm_down()
         finally:
+            for host in self.hosts:
+                for _, writer in host.__dict__.get("kept", ()):
+                    writer.close()
             await asyncio.gather(*(host.end() for host in self.hosts))
             for listener in (self.store, *self.servers, *self.paths.values(),
                              *(p for h in self.hosts for p in (h.callers, h.store))):
@@ -165,9 +171,7 @@
     # Faults
 
     def product_faults(self):
-        return [self.kill, self.freeze, self.stop, self.hang_up, self.store_mode, self.store_path,
-                self.server_fault, self.server_path, self.drain, self.lapse, self.change_routes,
-                self.forget, self.caller_path, self.kill_all, self.restore_store]
+        return [getattr(self, name) for name in self.options.product_faults]
 
     async def faults(self, choices):
         while self.now() < self.ends - 4:
@@ -277,6 +281,17 @@
             self.check_limit(server)
         server.announced.clear()
 
+    async def repeated_refusals(self, seconds):
+        """All servers of a service refuse requests, so that hosts try the same servers again."""
+        service = self.random.choice(("single", "once"))
+        faulty = [s for s in self.servers if s.service == service and not s.fault]
+        for server in faulty:
+            server.fault = "repeats"
+        await asyncio.sleep(seconds)
+        for server in faulty:
+            if server.fault == "repeats":
+                server.fault = ""
+
     def by_host(self, records):
         """Times of records by the host that sent their request, for hosts that ran and reached
         servers all the time since. Hosts without servers forward requests to others."""
