Show that endless bytes of a backend server do not fill a host

Operators of a similar system saw a host keep all bytes of a faulty server and run out of memory. Here it cannot happen: a real host is sent 20 kinds of bytes without end, 10 in heads, 9 in bodies and one of responses to other requests, singly and as parts of one fan-out. It ends each response, goes on serving other callers and never holds 160 MiB, the memory of the smallest hosts.

--- /dev/null
+++ b/tests/processes/endless_response_test.py
@@ -0,0 +1,182 @@
+"""Tests of a relay host as a process whose backend servers send bytes without end."""
+
+import asyncio
+import os
+import pathlib
+import re
+import sys
+import tempfile
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "tools"))
+from relay_soak import hosts  # noqa: E402
+from relay_soak.hosts import standin  # noqa: E402
+
+BINARY = pathlib.Path(os.environ.get("WAXWING_BIN_DIR", ROOT / "build/release/bin"))
+# Memory of the smallest hosts of the deployments, in MiB.
+HOST_MEMORY = 160
+# Bytes of one response within which a host ends the connection: those that it reads and those that wait
+# in the buffers of the sockets.
+LONGEST_RESPONSE = 32 << 20
+CALLERS, TIME_LEFT_MS = 6, 1500
+FILLER = b"x" * 65536
+HEAD = b"HTTP/1.1 200 OK\r\n"
+SIGNED = HEAD + b"X-Waxwingdyke-Response-Stamp: s\r\n"
+CHUNKED = SIGNED + b"Transfer-Encoding: chunked\r\n\r\n"
+COPY = SIGNED + b"X-Waxwingdyke-Request-Id: other\r\nContent-Length: 4\r\n\r\nlate"
+# Beginning of a response and what follows without end.
+FORMS = {
+    "no protocol": (b"", FILLER),
+    "zero bytes": (b"", bytes(65536)),
+    "empty lines": (b"", b"\r\n" * 32768),
+    "reason phrase": (b"HTTP/1.1 200 ", FILLER),
+    "field name": (HEAD, FILLER),
+    "field value": (HEAD + b"X-A: ", FILLER),
+    "fields": (HEAD, b"X-A: " + b"x" * 1000 + b"\r\n"),
+    "short fields": (HEAD, b"a:b\r\n" * 10000),
+    "folded field": (HEAD + b"X-A: b\r\n", b" folded\r\n" * 5000),
+    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 1000),
+    "other responses": (b"", COPY * 500),
+    "body without length": (SIGNED + b"\r\n", FILLER),
+    "body with length": (SIGNED + b"Content-Length: 99999999999\r\n\r\n", FILLER),
+    "body longer than stated": (SIGNED + b"Content-Length: 5\r\n\r\n", FILLER),
+    "chunks": (CHUNKED, b"10000\r\n" + FILLER + b"\r\n"),
+    "small chunks": (CHUNKED, b"1\r\nx\r\n" * 10000),
+    "chunk size": (CHUNKED, b"0" * 65536),
+    "chunk extension": (CHUNKED + b"1;a=", FILLER),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: " + b"x" * 1000 + b"\r\n"),
+    "trailer field": (CHUNKED + b"0\r\nX-A: ", FILLER),
+}
+
+
+class EndlessServer(standin.Server):
+    """Sends bytes in answer to a request until the connection ends."""
+
+    def __init__(self, service, form):
+        super().__init__("127.0.0.1", service, hosts.ZONES[0], 64, 0)
+        # Most bytes of one response that were sent or wait to be sent.
+        self.form, self.most = form, 0
+
+    async def serve(self, reader, writer):
+        await standin.read_message(reader)
+        start, more = FORMS[self.form]
+        writer.write(start)
+        sent = len(start)
+        while sent < 2 * HOST_MEMORY << 20:
+            writer.write(more)
+            sent += len(more)
+            self.most = max(self.most, sent)
+            await writer.drain()
+
+
+class EndlessResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.store = standin.Store("127.0.0.1")
+        await self.store.open()
+        # Programs under the address sanitizer keep freed memory, which would count as held here.
+        os.environ["ASAN_OPTIONS"] = "quarantine_size_mb=1"
+        network = f"127.1.{os.getpid() % 250 + 1}"
+        self.host = hosts.Host(0, network, [f"{network}.1"], self.store,
+                               pathlib.Path(folder.name), BINARY / "waxwing-relay")
+        self.numbers, self.servers = iter(range(1, 1 << 20)), []
+        self.sound = standin.Server("127.0.0.1", "sound", hosts.ZONES[0], 64, 0.001)
+        await self.sound.open()
+        await self.store.put("servers", self.sound.id, self.sound.registration(self.sound.port))
+
+    async def asyncTearDown(self):
+        await self.host.end()
+        for listener in (self.store, self.sound, self.host.callers, self.host.store, *self.servers):
+            listener.close()
+
+    async def serve(self, forms):
+        """Starts a server for each form, and the host."""
+        services = {form: f"endless-{n}" for n, form in enumerate(forms)}
+        self.routes = {form: f"/{service}/" for form, service in services.items()}
+        for form, service in services.items():
+            server = EndlessServer(service, form)
+            await server.open()
+            self.servers.append(server)
+            await self.store.put("servers", server.id, server.registration(server.port))
+        document = standin.routes(7, ["sound"], "sound", "sound", ())
+        one = next(r for r in document["routes"] if r["name"] == "one")
+        for form, service in services.items():
+            document["routes"].append({**one, "name": service, "pathPrefix": self.routes[form],
+                                       "service": service})
+            document["services"].append({**document["services"][0], "name": service})
+        document["routes"].append({**one, "name": "parts", "pathPrefix": "/parts/",
+                                   "gather": ["sound", *services.values()], "topK": 10,
+                                   "minCoverage": 0.01})
+        del document["routes"][-1]["service"]
+        await self.store.put("config", "main", document)
+        await self.host.open()
+        for _ in range(200):
+            if await self.call("/one/") == 200:
+                return
+            await asyncio.sleep(0.05)
+        self.fail("the host does not become ready")
+
+    async def call(self, prefix):
+        """Returns the status, 0 without an answer."""
+        request = f"{next(self.numbers):016x}"
+        try:
+            reader, writer = await asyncio.open_connection(self.host.address, 20110)
+        except ConnectionError:
+            return 0
+        try:
+            writer.write(standin.format_call(request, f"{prefix}{request}", b"", TIME_LEFT_MS))
+            answer = await asyncio.wait_for(standin.read_message(reader), 10)
+            return int(answer[0].split(" ")[1]) if answer else 0
+        finally:
+            writer.close()
+
+    def peak_memory(self):
+        """Most memory that the host has held so far, in MiB."""
+        status = pathlib.Path(f"/proc/{self.host.process.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+)", status)[1]) / 1024
+
+    async def check(self, server):
+        form = server.form
+        for _ in range(100):
+            if server.most:
+                break
+            await asyncio.sleep(0.05)
+        self.assertIsNone(self.host.process.returncode, form)
+        self.assertGreater(server.most, 0, form)
+        self.assertLess(server.most, LONGEST_RESPONSE, form)
+        self.assertLess(self.peak_memory(), HOST_MEMORY, form)
+
+    async def test_endless_responses_end_and_other_callers_are_served(self):
+        """Guards against a host that holds all bytes of a faulty server, runs out of memory and ends
+        the requests of all its callers."""
+        await self.serve(FORMS)
+        print(f"\n  {'before':<24} peak {self.peak_memory():6.1f} MiB")
+        for server in self.servers:
+            calls = [asyncio.create_task(self.call(self.routes[server.form]))
+                     for _ in range(CALLERS)]
+            others = [await self.call("/one/") for _ in range(CALLERS)]
+            statuses = await asyncio.gather(*calls)
+            print(f"  {server.form:<24} peak {self.peak_memory():6.1f} MiB, "
+                  f"at most {server.most >> 10} KiB sent", flush=True)
+            self.assertEqual([200] * CALLERS, others, server.form)
+            self.assertNotIn(200, statuses if "longer" not in server.form else [], server.form)
+            self.assertNotIn(0, statuses, server.form)
+            await self.check(server)
+
+    async def test_endless_parts_are_left_out(self):
+        """Guards against the same in fan-outs, where one request has many servers."""
+        await self.serve(FORMS)
+        calls = [asyncio.create_task(self.call("/parts/")) for _ in range(CALLERS)]
+        others = [await self.call("/one/") for _ in range(CALLERS)]
+        # Some find no server of the sound shard free.
+        self.assertIn(200, await asyncio.gather(*calls))
+        self.assertEqual([200] * CALLERS, others)
+        for server in self.servers:
+            await self.check(server)
+        print(f"\n  {'all forms at once':<24} peak {self.peak_memory():6.1f} MiB")
+
+
+if __name__ == "__main__":
+    unittest.main()
