Do not let earlier exits of the loop end the test of a graceful stop

Cause: test_loop::runUntil leaves an exit of the loop scheduled when its condition holds early, and each of the two event_base_dispatch calls of the test ends at such an exit as well. The first then watched less than the 200 ms it stands for, and the second returned before the console's next look at its requests, 50 ms later.

The test now runs the loop until 200 ms have passed, and checks after each step that it was not broken, and then until it is broken (5 s at most), which is stricter: the 200 ms are watched whole.

--- a/tests/console/graceful_stop_test.cpp
+++ b/tests/console/graceful_stop_test.cpp
@@ -2,6 +2,7 @@
 
 #include "http/loop_fixture.h"
 
+#include <chrono>
 #include <csignal>
 #include <optional>
 
@@ -32,13 +33,13 @@
         loop.runUntil([&] { return waiting.has_value(); });
 
         CPPUNIT_ASSERT_EQUAL(0, std::raise(SIGTERM));
-        const timeval later{0, 200'000};
-        event_base_loopexit(loop.base(), &later);
-        event_base_dispatch(loop.base());
-        CPPUNIT_ASSERT(!event_base_got_break(loop.base()));
+        const auto later = std::chrono::steady_clock::now() + std::chrono::milliseconds(200);
+        loop.runUntil([&] {
+            CPPUNIT_ASSERT(!event_base_got_break(loop.base()));
+            return std::chrono::steady_clock::now() >= later;
+        });
         waiting->respond({200, {}, "done"});
-        event_base_dispatch(loop.base());
-        CPPUNIT_ASSERT(event_base_got_break(loop.base()));
+        loop.runUntil([&] { return event_base_got_break(loop.base()) != 0; });
         loop.runUntil([&] { return answer.has_value(); });
         CPPUNIT_ASSERT_EQUAL(std::string("done"), std::get<http::response>(*answer).body);
     }
