Keep of a part only the records that the merged answer can hold

A fan-out kept the whole response of each part until the last part came, up to the largest response for each of hundreds of parts. The greatest K records of all are among the greatest K of each, so a part keeps these and drops its header fields, which a merged answer does not pass on.

test_relay passes; the merge of records is the same function as before.

--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -1,5 +1,6 @@
 #include "relay/request_progress.h"
 
+#include "relay/record_merge.h"
 #include "relay/request_coverage.h"
 
 #include <fmt/format.h>
@@ -306,6 +307,11 @@
     part.step = step_kind::Answered;
     part.hedgeAt.reset();
     part.reply = std::move(reply);
+    // The merged answer needs no more of a part than this, and the other parts may take seconds.
+    if (m_request.target->isFanOut()) {
+        part.reply.fields = http::header_list();
+        part.reply.body = greatestRecords({part.reply.body}, m_request.target->topRecords);
+    }
     ++m_request.answeredParts;
 }
 
