--- a/tests/processes/memory_test.py
+++ b/tests/processes/memory_test.py
@@ -102,6 +102,20 @@
         self.assertGreater(
             await self.metric("waxwing_relay_memory_refusals_total_hosts_stranger"), 0)
 
+    async def test_large_answers_pass(self):
+        """Guards against answers of servers that are thrown away for their size after they ran."""
+        sizes = (300_000, 3_000_000)
+        prefixes = {size: self.add_route(f"large-{size}") for size in sizes}
+        for size in sizes:
+            await self.add_server(LargeServer(f"large-{size}", size))
+        await self.start()
+        for size in sizes:
+            for _ in range(FEW_TIMES):
+                line, _, body = await self.exchange(prefixes[size])
+                self.assertIn(" 200 ", line)
+                self.assertEqual(size, len(body))
+        await self.check_sound_callers("large answers")
+
     async def test_callers_that_do_not_read(self):
         """Guards against answers that wait without bound for callers that do not take them."""
         prefix = self.add_route("large")
