--- a/src/bench/slopes_bench.cpp
+++ b/src/bench/slopes_bench.cpp
@@ -1,17 +1,14 @@
 #include "bench/slopes_bench.h"
 
 #include "bench/entry_driver.h"
+#include "bench/process_usage.h"
 #include "configuration/parse.h"
 #include "core/hash.h"
 #include "routing/holder_assignment.h"
 
 #include <fmt/format.h>
 
-#include <malloc.h>
-
 #include <algorithm>
-#include <ctime>
-#include <functional>
 
 namespace waxwing {
 namespace {
@@ -20,38 +17,6 @@
 constexpr std::uint32_t serverCounts[] = {25, 73, 146};
 constexpr std::uint32_t memberCounts[] = {7, 93, 740};
 constexpr std::uint32_t leafCounts[] = {600, 1800, 5400};
-constexpr int repetitions = 5;
-
-std::size_t usedBytes()
-{
-    return mallinfo2().uordblks;
-}
-
-double processorMicroseconds(const std::function<void()> &work)
-{
-    timespec begin{};
-    timespec end{};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &begin);
-    work();
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &end);
-    return static_cast<double>(end.tv_sec - begin.tv_sec) * 1e6
-        + static_cast<double>(end.tv_nsec - begin.tv_nsec) / 1e3;
-}
-
-double median(std::vector<double> values)
-{
-    std::sort(values.begin(), values.end());
-    return values[values.size() / 2];
-}
-
-double medianOf(const std::function<double()> &measure)
-{
-    std::vector<double> values;
-    values.reserve(repetitions);
-    for (int i = 0; i < repetitions; ++i)
-        values.push_back(measure());
-    return median(values);
-}
 
 double microsecondsPerEvent(const entry_driver_size &size)
 {
--- a/src/bench/waxwing_bench_main.cpp
+++ b/src/bench/waxwing_bench_main.cpp
@@ -1,3 +1,4 @@
+#include "bench/connections_bench.h"
 #include "bench/policy_bench.h"
 #include "bench/slopes_bench.h"
 
@@ -36,6 +37,7 @@
         {"leaving", policy(&measureLeaving)},
         {"poison", policy(&measurePoison)},
         {"slopes", &measureSlopes},
+        {"connections", &measureConnections},
     };
 }
 
@@ -49,9 +51,10 @@
 /// Prints one JSON line for each figure; exits with 1 if a target is not met.
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("Measures waxwingdyke; one JSON line for each figure.\n"
-                            "usage: waxwing-bench [--scenarios DIR] [NAME...]\n"
-                            "names: hedging overload replica_loss leaving poison slopes");
+    gflags::SetUsageMessage(
+        "Measures waxwingdyke; one JSON line for each figure.\n"
+        "usage: waxwing-bench [--scenarios DIR] [NAME...]\n"
+        "names: hedging overload replica_loss leaving poison slopes connections");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     bool isMet = true;
     bool hasRun = false;
