Let hostile callers and strangers act in every run of the soak

Callers that stall one byte before the end of a body, drip one, or leave answers unread on narrow sockets, and strangers with bodies of 60 MB on the port for hosts, 20 to 150 at a time, from a generator of their own so that earlier seeds keep their schedules. Hosts are told to keep within 64 MiB; at the end their peak and what they still hold are checked.

--- a/tools/relay_soak/operators.py
+++ b/tools/relay_soak/operators.py
@@ -6,6 +6,7 @@
 import math
 import re
 
+from relay_soak.hostile_peers import MEMORY
 from relay_soak.hosts import TEMPLATE, ZONES, standin
 
 FEATURES = ("organisations", "evacuations", "cold", "reports", "observations")
@@ -70,7 +71,7 @@
 
     def settings(self):
         """Lines of the settings of hosts."""
-        text = ""
+        text = f"memory: {{limit_mb: {MEMORY}}}\n"
         if self.has("organisations"):
             text += f"quotas: {{window_ms: {int(1000 * QUOTA_WINDOW)}}}\n"
         if self.has("evacuations"):
--- a/tools/relay_soak/soak.py
+++ b/tools/relay_soak/soak.py
@@ -4,6 +4,7 @@
 import random
 import signal
 
+from relay_soak.hostile_peers import HostilePeers
 from relay_soak.hosts import CALM_TIME, ZONES, Host, ServerPath, standin
 from relay_soak.operators import COLD_RATE, Operators
 
@@ -22,7 +23,7 @@
 ANSWER_SLACK = 3.0
 
 
-class Soak(Operators):
+class Soak(HostilePeers, Operators):
     """One run with one seed."""
 
     def __init__(self, seed, options, folder):
@@ -30,7 +31,7 @@
         self.random, self.problems, self.version = random.Random(seed), [], 1
         self.extra, self.calls, self.served = [], 0, 0
         self.not_run, self.once, self.host_of, self.lapsed = {}, set(), {}, set()
-        self.hosts, self.fullest = [], 0.0
+        self.hosts, self.fullest, self.peak_memory = [], 0.0, 0.0
         self.draw_features()
 
     def problem(self, text):
@@ -68,8 +69,9 @@
             self.ends = self.now() + self.options.seconds
             faults = [asyncio.create_task(self.faults(choices)) for choices in
                       [self.product_faults()] * 2 + [self.operator_faults()] * 2]
-            await self.load(faults)
+            await self.load([*faults, asyncio.create_task(self.harass())])
             await self.calm_down()
+            await self.check_memory()
         finally:
             for host in self.hosts:
                 for _, writer in host.__dict__.get("kept", ()):
