Pass large answers of servers on in pieces

Change: a signed success for a request that is neither a fan-out nor forwarded is begun once it is known to be larger than memory.buffered_answer_kb: the reducer gets its head as the answer, and answer_pipes connects the server's connection with the caller's. A server is read no faster than its caller takes (256 KiB wait at most); a server that stalls for 10 s or breaks off ends the caller's connection without the last chunk or byte, so that it is not taken for whole; a caller that leaves ends the server's connection. A stop waits for such answers until the latest exit. From its beginning on an answer can no longer be retried.

--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -50,6 +50,11 @@
     request_id_history values;
     /// Responses that came before that to the call in progress and were dropped.
     std::uint32_t dropped = 0;
+    /// Whether the response to the call in progress is passed on in pieces.
+    bool isStreaming = false;
+    bool isPaused = false;
+    /// When the last piece came, or reading went on.
+    time_point lastPiece;
     /// Whether it may serve a further call after the current one.
     bool reusable = true;
     /// When its opening began, and when it was opened.
@@ -131,19 +136,27 @@
 void client_pool::begin(connection &target, call request)
 {
     m_calls[request.id.value] = &target;
-    target.parser.restart(request.isHead);
     // What is sent belongs to requests that were admitted, so it is counted and not refused.
     target.callBytes = request.bytes.capacity();
     target.held.setHeld(target.callBytes);
     target.current = std::move(request);
     target.written = false;
     target.dropped = 0;
+    target.isStreaming = false;
+    restartParser(target);
     if (target.current->deadline.has_value() && !target.transport->isConnected())
         target.expires = std::min(target.expires, target.current->deadline->at);
     if (target.transport->isConnected())
         writeCall(target);
 }
 
+void client_pool::restartParser(connection &target) const
+{
+    target.parser.restart(target.current->isHead);
+    if (target.current->mayStream && m_streams.onBegin)
+        target.parser.acceptAnyBody();
+}
+
 void client_pool::writeCall(connection &target)
 {
     call &request = *target.current;
@@ -192,6 +205,8 @@
             finish(target, call_failure::Malformed, false);
             return;
         }
+        if (!streamBody(target))
+            return;
         if (!hasRoom(target)) {
             if (target.current.has_value())
                 finish(target, call_failure::NoRoom, false);
@@ -208,6 +223,65 @@
     }
 }
 
+bool client_pool::streamBody(connection &target)
+{
+    if (!target.isStreaming) {
+        if (!target.parser.hasHeader() || !target.parser.isBodyOverLimit())
+            return true;
+        beginStream(target);
+        return target.current.has_value() && target.isStreaming;
+    }
+    target.lastPiece = m_time.now();
+    const attempt_id id = target.current->id;
+    if (std::string bytes = target.parser.takeBodySoFar(); !bytes.empty())
+        m_streams.onBody(id, std::move(bytes));
+    return target.current.has_value() && target.current->id == id;
+}
+
+void client_pool::beginStream(connection &target)
+{
+    const auto doubt = doubtOf(target, target.parser.fields());
+    const bool isFinal = target.parser.status() >= firstFinalStatus;
+    if (!isFinal || doubt == response_doubt::OtherValue) {
+        finish(target, call_failure::Malformed, false);
+        return;
+    }
+    const call &request = *target.current;
+    const attempt_id id = request.id;
+    raw_response start{{target.parser.status(), target.parser.fields(), {}}, true};
+    start.content.body = target.parser.takeBodySoFar();
+    if (doubt.has_value() && m_onDoubt)
+        m_onDoubt(request, start, *doubt);
+    target.isStreaming = true;
+    target.isPaused = false;
+    target.lastPiece = m_time.now();
+    const bool isWanted =
+        m_streams.onBegin(request, std::move(start), target.parser.statedLength());
+    if (isWanted || !target.current.has_value() || target.current->id != id)
+        return;
+    target.isStreaming = false;
+    finish(target, call_failure::Malformed, false);
+}
+
+void client_pool::pause(attempt_id id)
+{
+    const auto found = m_calls.find(id.value);
+    if (found == m_calls.end() || found->second->isPaused)
+        return;
+    found->second->isPaused = true;
+    found->second->transport->pauseReading();
+}
+
+void client_pool::resume(attempt_id id)
+{
+    const auto found = m_calls.find(id.value);
+    if (found == m_calls.end() || !found->second->isPaused)
+        return;
+    found->second->isPaused = false;
+    found->second->lastPiece = m_time.now();
+    found->second->transport->resumeReading();
+}
+
 bool client_pool::hasRoom(connection &target) const
 {
     const std::uint64_t call = target.current->id.value;
@@ -218,12 +292,12 @@
 }
 
 std::optional<response_doubt> client_pool::doubtOf(const connection &target,
-                                                   const raw_response &response) const
+                                                   const header_list &fields) const
 {
     const call &request = *target.current;
     if (request.echoField.empty())
         return std::nullopt;
-    const std::string *echoed = findField(response.content.headers, request.echoField);
+    const std::string *echoed = findField(fields, request.echoField);
     if (echoed != nullptr && *echoed != request.echoValue)
         return response_doubt::OtherValue;
     return echoed == nullptr && target.hadCall ? std::optional(response_doubt::NoValue)
@@ -234,7 +308,9 @@
 {
     raw_response response = target.parser.takeResponse();
     const bool isInterim = response.content.status < firstFinalStatus;
-    const auto doubt = isInterim ? std::nullopt : doubtOf(target, response);
+    // The doubt about a response that came in pieces was noted at its beginning.
+    const auto doubt =
+        isInterim || target.isStreaming ? std::nullopt : doubtOf(target, response.content.headers);
     if (doubt.has_value() && m_onDoubt)
         m_onDoubt(*target.current, response, *doubt);
     if (isInterim || doubt == response_doubt::OtherValue) {
@@ -242,7 +318,7 @@
         if (++target.dropped > m_settings.maxDroppedResponses)
             finish(target, call_failure::Malformed, false);
         else
-            target.parser.restart(target.current->isHead);
+            restartParser(target);
         if (isInterim && m_onInterim && target.current.has_value())
             m_onInterim(target.current->id);
         return;
@@ -306,9 +382,15 @@
     target.current.reset();
     target.held.setHeld(0);
     m_calls.erase(id.value);
+    const bool wasStreaming = std::exchange(target.isStreaming, false);
     if (!reusable)
         close(target);
-    m_onDone(id, std::move(result));
+    if (!wasStreaming) {
+        m_onDone(id, std::move(result));
+        return;
+    }
+    const auto *failure = std::get_if<call_failure>(&result);
+    m_streams.onEnd(id, failure == nullptr ? std::nullopt : std::optional(*failure));
 }
 
 void client_pool::cancel(attempt_id id)
@@ -319,6 +401,7 @@
     connection &target = *found->second;
     m_calls.erase(found);
     target.current.reset();
+    target.isStreaming = false;
     close(target);
 }
 
@@ -389,7 +472,9 @@
     for (const auto &[peer, all] : m_peers) {
         for (const auto &each : all) {
             const bool waits = !each->written || !each->current.has_value();
-            if (waits && now >= each->expires)
+            const bool isStalled = each->isStreaming && !each->isPaused
+                && now - each->lastPiece > m_settings.streamTimeout;
+            if ((waits && now >= each->expires) || isStalled)
                 expired.push_back(each.get());
         }
     }
@@ -398,6 +483,10 @@
             close(*each);
             continue;
         }
+        if (each->isStreaming) {
+            finish(*each, call_failure::ConnectionLost, false);
+            continue;
+        }
         const call_failure reason = failureToWrite(*each, now);
         each->expires = now + m_settings.idleTimeout;
         finish(*each, reason, each->transport->isConnected());
--- a/src/http/client_pool.h
+++ b/src/http/client_pool.h
@@ -56,6 +56,9 @@
     /// Interim responses, and responses to earlier calls, that are dropped before the response to a
     /// call. After more of them the call fails; a faulty peer may send them without end.
     std::uint32_t maxDroppedResponses = 8;
+    /// Time without a byte after which a response that is passed on in pieces is given up. The
+    /// deadline of its call is over by then.
+    std::chrono::milliseconds streamTimeout{10000};
     /// Address from which connections are opened; empty lets the system choose.
     std::optional<std::string> localAddress{};
     /// Detection of peers that have gone.
@@ -93,6 +96,8 @@
     std::string echoValue;
     /// Empty for a call that is not limited.
     std::optional<call_deadline> deadline{};
+    /// Whether the response may come in pieces, if there are observers for them.
+    bool mayStream = false;
 
     bool operator==(const call &) const = default;
 };
@@ -105,6 +110,18 @@
     NoValue,
 };
 
+/// Observers of responses that are larger than the limit and come in pieces.
+struct response_stream_observer
+{
+    /// A final response began; its body holds what has come of it. Returns whether the rest is
+    /// wanted; otherwise the call fails as malformed.
+    std::function<bool(const call &, raw_response, std::optional<std::uint64_t> length)> onBegin;
+    /// More of the body came.
+    std::function<void(attempt_id, std::string)> onBody;
+    /// The response ended, whole unless there is a failure. Takes the place of `callback`.
+    std::function<void(attempt_id, std::optional<call_failure>)> onEnd;
+};
+
 /// HTTP/1.1 calls over kept connections, one call at a time on each.
 ///
 /// A connection on which anything unexpected came is not used again. No two calls with the same
@@ -141,6 +158,11 @@
     void observeWrites(write_observer onWritten) { m_onWritten = std::move(onWritten); }
     /// Sets an observer of responses that are in doubt; none at first.
     void observeDoubts(doubt_observer onDoubt) { m_onDoubt = std::move(onDoubt); }
+    /// Sets the observers of responses in pieces; without them they fail as malformed.
+    void observeStreams(response_stream_observer observer) { m_streams = std::move(observer); }
+    /// Stops or continues reading the response to a call.
+    void pause(attempt_id id);
+    void resume(attempt_id id);
     /// Sends a request on the connection that was used last, or on a new one. If all idle
     /// connections have carried its echo value, the new one replaces one of them.
     void send(call request);
@@ -165,13 +187,17 @@
     connection &open(const endpoint &peer);
     void begin(connection &target, call request);
     void onConnected(connection &target);
+    void restartParser(connection &target) const;
     void writeCall(connection &target);
     void onBytes(connection &target, std::string_view bytes);
     void onEnd(connection &target, stream_end reason);
     std::optional<response_doubt> doubtOf(const connection &target,
-                                          const raw_response &response) const;
+                                          const header_list &fields) const;
     void complete(connection &target, std::string_view rest);
     void finish(connection &target, outcome result, bool reusable);
+    /// Passes on what has come of a large response. False if the call has ended.
+    bool streamBody(connection &target);
+    void beginStream(connection &target);
     /// Whether there is room for what has come of the response. The call may have ended afterwards.
     bool hasRoom(connection &target) const;
     call_failure lossOf(const connection &target) const;
@@ -190,6 +216,7 @@
     write_observer m_onWritten;
     interim_observer m_onInterim;
     doubt_observer m_onDoubt;
+    response_stream_observer m_streams;
     std::map<endpoint, connection_list> m_peers;
     absl::flat_hash_map<std::uint64_t, connection *> m_calls;
     /// Closed connections, destroyed outside of their own callbacks.
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -75,6 +75,7 @@
     m_lines = 0;
     m_lastWasValue = true;
     m_answersHead = answersHead;
+    m_acceptsAnyBody = false;
     m_begun = false;
     m_hasHeader = false;
     m_complete = false;
@@ -159,6 +160,18 @@
     return m_hasHeader && (m_statedBody > 0 || (m_parser.flags & F_CHUNKED) != 0);
 }
 
+std::optional<std::uint64_t> message_parser::statedLength() const
+{
+    if (!m_hasHeader || (m_parser.flags & F_CONTENTLENGTH) == 0)
+        return std::nullopt;
+    return m_statedBody;
+}
+
+bool message_parser::isBodyOverLimit() const
+{
+    return (!m_complete && m_statedBody > m_limits.bodyBytes) || m_body.size() > m_limits.bodyBytes;
+}
+
 std::size_t message_parser::heldBytes() const
 {
     // Strings grow to twice what they hold.
@@ -268,7 +281,7 @@
     }
     const bool hasLength = (parser->flags & F_CONTENTLENGTH) != 0;
     self->m_statedBody = hasLength ? parser->content_length : 0;
-    if (hasLength && parser->content_length > self->m_limits.bodyBytes) {
+    if (hasLength && parser->content_length > self->m_limits.bodyBytes && !self->m_acceptsAnyBody) {
         self->reject(parse_problem::BodyTooLarge);
         return stopParsing;
     }
@@ -280,7 +293,8 @@
     if (size <= m_body.capacity())
         return;
     std::size_t enough = std::max(size, 2 * m_body.capacity());
-    if (m_statedBody >= size)
+    // A longer body is taken in pieces.
+    if (m_statedBody >= size && m_statedBody <= m_limits.bodyBytes)
         enough = std::min<std::uint64_t>(enough, m_statedBody);
     m_body.reserve(enough);
 }
@@ -288,7 +302,7 @@
 int message_parser::onBody(http_parser *parser, const char *at, std::size_t size)
 {
     message_parser *self = ownerOf(parser);
-    if (self->m_body.size() + size > self->m_limits.bodyBytes) {
+    if (self->m_body.size() + size > self->m_limits.bodyBytes && !self->m_acceptsAnyBody) {
         self->reject(parse_problem::BodyTooLarge);
         return stopParsing;
     }
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -6,8 +6,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace waxwing::http {
 
@@ -57,6 +59,10 @@
     void readEnd();
     /// Forgets the message and expects the next one. The response to a `HEAD` request has no body.
     void restart(bool answersHead = false);
+    /// Accepts the message whatever the size of its body, which is then taken in pieces.
+    void acceptAnyBody() { m_acceptsAnyBody = true; }
+    /// Takes what has arrived of the body. Its length is not limited from then on.
+    std::string takeBodySoFar() { return std::exchange(m_body, {}); }
 
     /// Whether the message is whole.
     bool isComplete() const { return m_complete; }
@@ -68,7 +74,17 @@
     parse_problem problem() const { return m_problem; }
     /// Whether the header fields announce a body.
     bool announcesBody() const;
-    /// Bytes of the body that have arrived.
+    /// Whether the body is longer than the limit, as far as is known.
+    bool isBodyOverLimit() const;
+    /// Length of the body that the header states; empty if it states none.
+    std::optional<std::uint64_t> statedLength() const;
+    /// Status of a response whose header is whole.
+    int status() const { return static_cast<int>(m_parser.status_code); }
+    /// Header fields, once they are whole.
+    const header_list &fields() const { return m_fields; }
+    /// Whether the sender of a request understands a body in chunks.
+    bool understandsChunks() const { return m_parser.http_major > 1 || m_parser.http_minor > 0; }
+    /// Bytes of the body that have arrived and were not taken.
     std::size_t bodyBytes() const { return m_body.size(); }
     /// Memory that the message takes so far.
     std::size_t heldBytes() const;
@@ -111,6 +127,7 @@
     std::size_t m_lines = 0;
     bool m_lastWasValue = true;
     bool m_answersHead = false;
+    bool m_acceptsAnyBody = false;
     bool m_begun = false;
     bool m_hasHeader = false;
     bool m_complete = false;
--- a/src/http/raw_message.cpp
+++ b/src/http/raw_message.cpp
@@ -57,7 +57,7 @@
         text.append(name).append(": ").append(value).append("\r\n");
 }
 
-void appendLength(std::string &text, std::size_t bytes)
+void appendLength(std::string &text, std::uint64_t bytes)
 {
     fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", bytes);
 }
@@ -112,6 +112,26 @@
     return bytes;
 }
 
+std::string formatResponseHead(const response &message, std::optional<std::uint64_t> length,
+                               bool keepAlive)
+{
+    std::string text;
+    fmt::format_to(std::back_inserter(text), "HTTP/1.1 {} {}\r\n", message.status,
+                   reasonPhrase(message.status));
+    appendFields(text, message.headers);
+    if (length.has_value())
+        appendLength(text, *length);
+    else
+        text.append("Transfer-Encoding: chunked\r\n");
+    text.append(keepAlive ? "\r\n" : "Connection: close\r\n\r\n");
+    return text;
+}
+
+std::string formatChunk(std::string_view bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
 std::string formatResponse(const response &message, bool keepAlive, bool headRequest)
 {
     constexpr int noContent = 204;
--- a/src/http/raw_message.h
+++ b/src/http/raw_message.h
@@ -2,6 +2,8 @@
 
 #include "http/message.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -46,6 +48,14 @@
 /// Adds a header field to the bytes of a request or response.
 std::string withField(std::string bytes, std::string_view name, std::string_view value);
 
+/// Start line and header fields of a response whose body follows in pieces: of `length` bytes, or
+/// in chunks without one.
+std::string formatResponseHead(const response &message, std::optional<std::uint64_t> length,
+                               bool keepAlive);
+
+/// Bytes of a chunk of a body; of the last one if there are none.
+std::string formatChunk(std::string_view bytes);
+
 /// Bytes of a response with `Content-Length`, and `Connection: close` unless `keepAlive`. The body
 /// is left out in the answer to a `HEAD` request.
 std::string formatResponse(const response &message, bool keepAlive, bool headRequest);
--- a/src/http/raw_server.cpp
+++ b/src/http/raw_server.cpp
@@ -18,6 +18,8 @@
 constexpr timeval sweepInterval{0, 250'000};
 /// Bytes of early requests that are kept while another one is handled.
 constexpr std::size_t earlyBytes = std::size_t{512} * 1024;
+/// Bytes of a response in pieces that wait for the peer at most before the next piece.
+constexpr std::size_t mostUnsentPieces = std::size_t{256} * 1024;
 /// Part of the budget that is released at a time, so that room for the next senders is there.
 constexpr std::size_t releasesPerBudget = 64;
 /// Time after the opening of a connection in which its first request may be on the way, at a stop.
@@ -103,6 +105,11 @@
     bool continueSent = false;
     /// Whether the current request may have the body that it announces.
     bool mayHaveBody = false;
+    /// Whether the answer is sent in pieces, and as chunks.
+    bool isStreaming = false;
+    bool isChunked = false;
+    /// Whether it waits until the peer has taken most of what was sent.
+    bool isFull = false;
     time_point lastByte;
     /// When the header of the current request was whole; meaningful while its body is read.
     time_point headerEnded;
@@ -210,10 +217,7 @@
         stream::callbacks{[this, reader](std::string_view bytes) { onBytes(*reader, bytes); },
                           [this, number](stream_end /*reason*/) { onEnd(number); },
                           {},
-                          [this, reader](std::size_t bytes) {
-                              reader->account.onSent(bytes, reader->transport->heldBytes(),
-                                                     m_time.now());
-                          }});
+                          [this, reader](std::size_t bytes) { onSent(*reader, bytes); }});
     m_connections.emplace(number, std::move(peer));
     if (!reader->account.open()) {
         reject(*reader, unavailable, rejection_cause::NoRoom);
@@ -401,6 +405,11 @@
     m_waiting.erase(waiting);
     const bool keepAlive = peer.keepAlive && !close && !m_closing;
     peer.transport->write(formatResponse(answer, keepAlive, peer.isHead));
+    proceed(peer, keepAlive);
+}
+
+void raw_server::proceed(connection &peer, bool keepAlive)
+{
     peer.requestBytes = 0;
     peer.account.release(2 * peer.early.size());
     if (!keepAlive) {
@@ -419,6 +428,77 @@
         consume(peer, std::exchange(peer.early, {}), peer.earlyArrival);
 }
 
+raw_server::connection *raw_server::findWaiting(request_id id)
+{
+    const auto waiting = m_waiting.find(id.value);
+    return waiting == m_waiting.end() ? nullptr : m_connections.at(waiting->second).get();
+}
+
+bool raw_server::beginResponse(request_id id, const response &start,
+                               std::optional<std::uint64_t> length)
+{
+    connection *peer = findWaiting(id);
+    if (peer == nullptr)
+        return false;
+    if (!length.has_value() && !peer->parser.understandsChunks()) {
+        m_waiting.erase(id.value);
+        peer->step = connection::step_kind::Lingering;
+        close(peer->number);
+        return false;
+    }
+    peer->isStreaming = true;
+    peer->isChunked = !length.has_value();
+    peer->isFull = false;
+    peer->keepAlive = peer->keepAlive && !m_closing;
+    peer->transport->write(formatResponseHead(start, length, peer->keepAlive));
+    return true;
+}
+
+bool raw_server::continueResponse(request_id id, std::string_view bytes)
+{
+    connection *peer = findWaiting(id);
+    if (peer == nullptr || !peer->isStreaming)
+        return false;
+    if (bytes.empty())
+        return true;
+    if (peer->isChunked)
+        peer->transport->write(formatChunk(bytes));
+    else
+        peer->transport->write(bytes);
+    peer->isFull = peer->transport->unsentBytes() > mostUnsentPieces;
+    const bool isFull = peer->isFull;
+    countUnsent(*peer);
+    return !isFull;
+}
+
+void raw_server::endResponse(request_id id, bool isWhole)
+{
+    connection *peer = findWaiting(id);
+    if (peer == nullptr || !peer->isStreaming)
+        return;
+    m_waiting.erase(id.value);
+    peer->isStreaming = false;
+    if (!isWhole) {
+        // Not answering any more, so that nobody is told of the close.
+        peer->step = connection::step_kind::Lingering;
+        close(peer->number);
+        return;
+    }
+    if (peer->isChunked)
+        peer->transport->write(formatChunk({}));
+    proceed(*peer, peer->keepAlive && !m_closing);
+}
+
+void raw_server::onSent(connection &peer, std::size_t bytes)
+{
+    peer.account.onSent(bytes, peer.transport->heldBytes(), m_time.now());
+    if (!peer.isFull || peer.transport->unsentBytes() > mostUnsentPieces / 4)
+        return;
+    peer.isFull = false;
+    if (m_handlers.onTaken)
+        m_handlers.onTaken(peer.request);
+}
+
 void raw_server::respondProcessing(request_id id)
 {
     const auto waiting = m_waiting.find(id.value);
@@ -472,7 +552,7 @@
 bool raw_server::hasUnsentBytes() const
 {
     return std::any_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
-        return entry.second->transport->unsentBytes() > 0;
+        return entry.second->isStreaming || entry.second->transport->unsentBytes() > 0;
     });
 }
 
@@ -506,7 +586,8 @@
 {
     switch (peer.step) {
     case connection::step_kind::Answering:
-        return false;
+        return peer.isStreaming && peer.transport->unsentBytes() > 0
+            && now - peer.account.lastTaken() > m_settings.takeTimeout;
     case connection::step_kind::Lingering:
         return now - peer.requestBegan > m_settings.lingerTime
             && (peer.transport->unsentBytes() == 0
--- a/src/http/raw_server.h
+++ b/src/http/raw_server.h
@@ -75,6 +75,8 @@
         /// Whether a peer may send a request with a body; asked before the body is held. May be
         /// empty, then all may.
         std::function<bool(const endpoint &sender)> mayHaveBody{};
+        /// The peer has taken most of a response that is sent in pieces. May be empty.
+        std::function<void(request_id)> onTaken{};
     };
 
     /// Listens at once. `time` must outlive the server.
@@ -88,6 +90,15 @@
     void limitMemory(const connection_memory &memory);
     /// Answers a request. With `close` the connection ends after the answer.
     void respond(request_id id, const response &answer, bool close = false);
+    /// Begins a response of `length` bytes, or of an unknown length, whose body follows in pieces.
+    /// Returns false, and ends the connection, if the peer cannot read it. `onGone` is called if
+    /// the peer goes away before the end.
+    bool beginResponse(request_id id, const response &start, std::optional<std::uint64_t> length);
+    /// Sends a piece. Returns whether the peer takes more; else `onTaken` follows.
+    bool continueResponse(request_id id, std::string_view bytes);
+    /// Ends a response in pieces. One that is not whole ends its connection, so that it cannot be
+    /// taken for a whole one.
+    void endResponse(request_id id, bool isWhole);
     /// Tells the peer that its request is being processed, before the answer.
     void respondProcessing(request_id id);
     /// Whether the unanswered request is the first one on its connection.
@@ -106,7 +117,8 @@
     /// Connections that may still carry a request. Those that have their last answer and wait for
     /// the peer to close do not count.
     std::size_t connections() const;
-    /// Whether peers have not taken all that was written to them. What the system buffers does not
+    /// Whether peers have not taken all that was written to them, or responses in pieces have not
+    /// ended. What the system buffers does not
     /// count; it is sent after the process has ended, too.
     bool hasUnsentBytes() const;
     /// Takes read delays from the clock of the loop, which must outlive the server. Without it they
@@ -133,10 +145,14 @@
     void onBytes(connection &peer, std::string_view bytes);
     void consume(connection &peer, std::string_view bytes, time_point arrival);
     void advance(connection &peer);
+    /// Goes on after an answer: with the next request, or to the end of the connection.
+    void proceed(connection &peer, bool keepAlive);
+    connection *findWaiting(request_id id);
     void reject(connection &peer, int status, rejection_cause cause);
     /// Ends a connection whose peer does not take its answer.
     void cut(connection &peer);
     void linger(connection &peer);
+    void onSent(connection &peer, std::size_t bytes);
     /// Counts what the peer has not taken. The connection may be gone afterwards.
     void countUnsent(connection &peer);
     /// Whether there is room for the request that is being read. The connection may be gone
--- a/src/http/stream.h
+++ b/src/http/stream.h
@@ -70,6 +70,10 @@
     void write(std::string_view bytes);
     /// Reads what has arrived, as when the loop reports the socket as readable.
     void readNow() { onReadable(m_socket, 0, this); }
+    /// Reads nothing from now on, so that the peer has to wait; its end is not noticed either.
+    void pauseReading() { event_del(m_read.get()); }
+    /// Reads again.
+    void resumeReading() { event_add(m_read.get(), nullptr); }
     /// Sends the end of the stream once everything is written, and reads on.
     void finishWriting();
     /// Closes the socket without reporting an end.
--- a/src/relay/relay_effect.h
+++ b/src/relay/relay_effect.h
@@ -32,6 +32,8 @@
     time_point deadline{};
     /// The caller, as the server is told.
     caller_identity caller{};
+    /// Whether the caller gets the answer as it is, so that a large one can be sent in pieces.
+    bool mayStream = false;
 
     bool operator==(const send_to_leaf &) const = default;
 };
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -73,6 +73,17 @@
     bool operator==(const forwarding_origin &) const = default;
 };
 
+/// What follows the beginning of an answer that comes in pieces.
+struct answer_rest
+{
+    /// Attempt whose connection it comes on.
+    attempt_id attempt;
+    /// Length of the whole body, in bytes; empty if it is not known.
+    std::optional<std::uint64_t> length;
+
+    bool operator==(const answer_rest &) const = default;
+};
+
 /// Answer of a backend server.
 struct leaf_reply
 {
@@ -104,6 +115,8 @@
     std::optional<std::chrono::milliseconds> coldFor{};
     /// Whether the server stated a cold time that could not be read.
     bool isColdTimeMalformed = false;
+    /// Set if `body` is only the beginning of the body.
+    std::optional<answer_rest> rest{};
 
     /// Whether the status is 2xx and the request was run.
     bool isSuccess() const { return status >= 200 && status < 300 && !notRun; }
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -249,7 +249,8 @@
                                            m_request.statistics, m_request.fingerprint});
     const registered_server &entry = choice.server->entry();
     m_context.emit(send_to_leaf{id, entry.id, entry.address, m_request.request, m_request.deadline,
-                                m_request.caller()});
+                                m_request.caller(),
+                                !m_request.target->isFanOut() && !m_request.origin.has_value()});
 }
 
 duration request_progress::hedgeDelay(const leaf_choice &choice) const
--- a/src/relay_host/caller_server.h
+++ b/src/relay_host/caller_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/raw_server.h"
+#include "relay_host/answer_pipes.h"
 #include "relay_host/rejection_log.h"
 #include "relay_host/relay_loop.h"
 #include "relay_host/wire_codec.h"
@@ -15,12 +16,12 @@
 class caller_server
 {
 public:
-    /// Starts to listen. `base`, `time`, `codec`, `memory` and `rejections` must outlive the
-    /// server.
+    /// Starts to listen. `base`, `time`, `codec`, `memory`, `rejections` and `pipes` must outlive
+    /// the server.
     static absl::StatusOr<std::unique_ptr<caller_server>>
     create(event_base *base, const loop_clock &time, const http::raw_server_settings &settings,
            const wire_codec &codec, memory_budget &memory, rejection_log &rejections,
-           const relay_event_sink &onEvent);
+           answer_pipes &pipes, const relay_event_sink &onEvent);
 
     void carryOut(const answer_request &action);
     /// Applies new size limits and timeouts to the connections of callers.
@@ -35,9 +36,10 @@
     endpoint localEndpoint() const { return m_server->localEndpoint(); }
 
 private:
-    explicit caller_server(const wire_codec &codec);
+    caller_server(const wire_codec &codec, answer_pipes &pipes);
 
     const wire_codec &m_codec;
+    answer_pipes &m_pipes;
     std::unique_ptr<http::raw_server> m_server;
 };
 
--- a/src/relay_host/leaf_client.h
+++ b/src/relay_host/leaf_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay_host/answer_pipes.h"
 #include "relay_host/event_client.h"
 #include "relay_host/wire_codec.h"
 #include "telemetry/metrics_registry.h"
@@ -18,6 +19,10 @@
     /// Counts the bytes of requests and responses. The budget must outlive the client.
     void limitMemory(memory_budget &memory);
 
+    /// Connections to servers.
+    http::client_pool &connections() { return m_calls.connections(); }
+    /// Passes answers that are larger than the limit on in pieces. `pipes` must outlive the client.
+    void useForLargeAnswers(answer_pipes &pipes);
     /// Sets an observer of requests for which a connection had to be opened; none at first.
     void observeWrites(http::client_pool::write_observer onWritten);
     /// Sets an observer of responses that may not answer the request in progress; none at first.
@@ -31,7 +36,11 @@
     void carryOut(const close_idle_connections &action);
 
 private:
+    bool beginLargeAnswer(const answer_pipes &pipes, attempt_id attempt, http::raw_response start,
+                          std::optional<std::uint64_t> length);
+
     const wire_codec &m_codec;
+    relay_event_sink m_onEvent;
     event_client m_calls;
 };
 
--- a/src/relay_host/relay_host_settings.cpp
+++ b/src/relay_host/relay_host_settings.cpp
@@ -25,12 +25,12 @@
     constexpr std::size_t kibibyte = 1024;
     constexpr std::size_t mebibyte = 1024 * kibibyte;
     std::uint64_t limit = target.limit / mebibyte;
-    std::uint64_t largestAnswer = target.largestAnswer / kibibyte;
+    std::uint64_t bufferedAnswer = target.bufferedAnswer / kibibyte;
     section.read("limit_mb", limit, number{32, 1U << 20U});
-    section.read("largest_answer_kb", largestAnswer, number{16, 1U << 16U});
+    section.read("buffered_answer_kb", bufferedAnswer, number{16, 1U << 16U});
     section.finish();
     target.limit = limit * mebibyte;
-    target.largestAnswer = largestAnswer * kibibyte;
+    target.bufferedAnswer = bufferedAnswer * kibibyte;
 }
 
 void readExtraBudget(settings_section section, extra_request_budget_settings &target)
--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -96,16 +96,18 @@
         [this](const relay_effect &action) { carryOut(action); }, nullptr);
     const relay_event_sink sink = [this](relay_event_body body) { m_loop->post(std::move(body)); };
     http::client_pool_settings servers;
-    servers.messages.bodyBytes = m_settings.memory.largestAnswer;
+    servers.messages.bodyBytes = m_settings.memory.bufferedAnswer;
     m_leafClient = std::make_unique<leaf_client>(m_base, m_time, servers, m_codec, m_metrics, sink);
     m_leafClient->limitMemory(m_memory);
+    m_answerPipes = std::make_unique<answer_pipes>(m_leafClient->connections(), m_metrics);
+    m_leafClient->useForLargeAnswers(*m_answerPipes);
     m_leafClient->observeWrites(
         [this](const http::call &request, duration delay) { onRequestWritten(request, delay); });
     m_leafClient->observeDoubts(
         [this](const http::call &request, const http::raw_response &response,
                http::response_doubt doubt) { onResponseInDoubt(request, response, doubt); });
     m_forwarder = std::make_unique<request_forwarder>(
-        m_base, m_time, m_settings.listen.gossip.address, m_settings.memory.largestAnswer, m_codec,
+        m_base, m_time, m_settings.listen.gossip.address, m_settings.memory.bufferedAnswer, m_codec,
         m_memory, sink);
     store_client_settings store;
     store.address = m_settings.store;
@@ -135,8 +137,8 @@
     const relay_event_sink sink = [this](relay_event_body body) { m_loop->post(std::move(body)); };
     http::raw_server_settings callers;
     callers.listen = m_settings.listen.callers;
-    auto callerServer =
-        caller_server::create(m_base, m_time, callers, m_codec, m_memory, m_rejections, sink);
+    auto callerServer = caller_server::create(m_base, m_time, callers, m_codec, m_memory,
+                                              m_rejections, *m_answerPipes, sink);
     if (!callerServer.ok())
         return callerServer.status();
     m_callerServer = *std::move(callerServer);
--- a/src/relay_host/relay_process.h
+++ b/src/relay_host/relay_process.h
@@ -84,6 +84,8 @@
     std::unique_ptr<gossip_socket> m_gossip;
     std::unique_ptr<peer_server> m_peerServer;
     std::unique_ptr<leaf_client> m_leafClient;
+    /// Connects the servers' answers with the callers' connections, which end before it.
+    std::unique_ptr<answer_pipes> m_answerPipes;
     std::unique_ptr<request_forwarder> m_forwarder;
     std::unique_ptr<store_client> m_storeClient;
 };
--- a/src/relay_host/request_forwarder.cpp
+++ b/src/relay_host/request_forwarder.cpp
@@ -5,13 +5,13 @@
 namespace waxwing::relay {
 namespace {
 
-http::client_pool_settings poolSettings(const std::string &localAddress, std::size_t largestAnswer)
+http::client_pool_settings poolSettings(const std::string &localAddress, std::size_t bufferedAnswer)
 {
     http::client_pool_settings result;
     result.localAddress = localAddress;
     // Room for the signatures of hundreds of parts.
     result.messages.headerBytes = std::size_t{256} * 1024;
-    result.messages.bodyBytes = largestAnswer;
+    result.messages.bodyBytes = bufferedAnswer;
     // A few round trips to another region; the next host is tried after it.
     result.connectTimeout = std::chrono::milliseconds(200);
     return result;
@@ -20,12 +20,12 @@
 } // namespace
 
 request_forwarder::request_forwarder(event_base *base, const clock &time,
-                                     const std::string &localAddress, std::size_t largestAnswer,
+                                     const std::string &localAddress, std::size_t bufferedAnswer,
                                      const wire_codec &codec, memory_budget &memory,
                                      relay_event_sink onEvent)
     : m_codec(codec), m_onEvent(onEvent),
       m_calls(
-          base, time, poolSettings(localAddress, largestAnswer), std::move(onEvent),
+          base, time, poolSettings(localAddress, bufferedAnswer), std::move(onEvent),
           [&codec](attempt_id attempt, http::raw_response response) {
               return codec.readForwardedAnswer(attempt, std::move(response));
           },
--- a/src/relay_host/request_forwarder.h
+++ b/src/relay_host/request_forwarder.h
@@ -17,7 +17,7 @@
     /// Connections are opened from `localAddress`, by which other hosts recognise this one.
     /// `base`, `time`, `codec` and `memory` must outlive the forwarder.
     request_forwarder(event_base *base, const clock &time, const std::string &localAddress,
-                      std::size_t largestAnswer, const wire_codec &codec, memory_budget &memory,
+                      std::size_t bufferedAnswer, const wire_codec &codec, memory_budget &memory,
                       relay_event_sink onEvent);
 
     /// Posts `forward_answered` or `forward_failed` when the other host has answered or failed.
--- a/src/route_check/check_limits.cpp
+++ b/src/route_check/check_limits.cpp
@@ -16,7 +16,7 @@
 
 /// Greatest number of records in an answer of a server that hosts accept. One shard may hold all
 /// records of a merged answer.
-constexpr std::size_t maxRecords = relay::memory_settings{}.largestAnswer / relay::recordBytes;
+constexpr std::size_t maxRecords = relay::memory_settings{}.bufferedAnswer / relay::recordBytes;
 
 /// Longest time that a host of any zone needs for a round trip to the nearest zone of the region,
 /// as hosts assume it before they have measured it. Zero if the region has no zone.
