Answer the request in progress where there is no room for the next one

A caller that sent further requests early lost the one in progress, with its connection, where the budget had no room for them (or they took more than 512 KiB). The request is now answered, the connection ends with the answer and what followed is not read. A server that found nobody to end does not search all its connections again for 10 ms.

requestInProgressIsAnsweredWithoutRoomForTheNext fails on the code before: its caller is gone.

--- a/src/http/raw_server.cpp
+++ b/src/http/raw_server.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t earlyBytes = std::size_t{512} * 1024;
 /// Bytes of a response in pieces that wait for the peer at most before the next piece.
 constexpr std::size_t mostUnsentPieces = std::size_t{256} * 1024;
+/// Time for which nobody is looked for again after nobody was found who could be ended, so that a
+/// full server does not search all its connections for each request that it refuses.
+constexpr std::chrono::milliseconds releasePause{10};
 /// Part of the budget that is released at a time, so that room for the next senders is there.
 constexpr std::size_t releasesPerBudget = 64;
 /// Time after the opening of a connection in which its first request may be on the way, at a stop.
@@ -105,6 +108,8 @@
     bool continueSent = false;
     /// Whether the current request may have the body that it announces.
     bool mayHaveBody = false;
+    /// Whether there was no room for what followed the current request.
+    bool ignoresInput = false;
     /// Whether the answer is sent in pieces, and as chunks.
     bool isStreaming = false;
     bool isChunked = false;
@@ -240,17 +245,32 @@
     if (peer.step == connection::step_kind::Answering) {
         if (peer.early.empty())
             peer.earlyArrival = arrival;
-        const std::size_t early = peer.early.size() + bytes.size();
-        // A caller that sends this far ahead of its answer ends its request too.
-        if (early <= earlyBytes && peer.account.hold(peer.requestBytes + 2 * early))
-            peer.early.append(bytes);
-        else
-            onEnd(peer.number);
+        if (!peer.ignoresInput)
+            keepEarly(peer, bytes);
         return;
     }
     consume(peer, bytes, arrival);
 }
 
+void raw_server::keepEarly(connection &peer, std::string_view bytes)
+{
+    const std::uint64_t number = peer.number;
+    const std::size_t early = peer.early.size() + bytes.size();
+    const bool hasRoom = early <= earlyBytes && peer.account.hold(peer.requestBytes + 2 * early);
+    if (!m_connections.contains(number))
+        return;
+    if (hasRoom) {
+        peer.early.append(bytes);
+        return;
+    }
+    // The request in progress is answered; that its connection ends then says that the following
+    // ones were not read.
+    peer.ignoresInput = true;
+    peer.keepAlive = false;
+    std::string().swap(peer.early);
+    peer.account.release(peer.requestBytes);
+}
+
 void raw_server::consume(connection &peer, std::string_view bytes, time_point arrival)
 {
     const std::uint64_t number = peer.number;
@@ -330,11 +350,15 @@
 void raw_server::releaseRequests(std::size_t bytes)
 {
     const time_point now = m_time.now();
+    if (now < m_nextRequestRelease)
+        return;
     std::vector<eviction_candidate> senders;
     for (const auto &[number, peer] : m_connections) {
         if (peer->step == connection::step_kind::Reading && peer->parser.hasBegun())
             senders.push_back(peer->account.asSender(number, now));
     }
+    if (senders.empty())
+        m_nextRequestRelease = now + releasePause;
     const std::size_t batch = m_memory.budget->settings().bytes / releasesPerBudget;
     for (const std::uint64_t number : chooseEvictions(std::move(senders), std::max(bytes, batch))) {
         if (const auto found = m_connections.find(number); found != m_connections.end())
--- a/src/http/raw_server.h
+++ b/src/http/raw_server.h
@@ -143,6 +143,8 @@
     void accept(int socket, const sockaddr *address);
     void closeListener();
     void onBytes(connection &peer, std::string_view bytes);
+    /// Keeps bytes that follow a request in progress.
+    void keepEarly(connection &peer, std::string_view bytes);
     void consume(connection &peer, std::string_view bytes, time_point arrival);
     void advance(connection &peer);
     /// Goes on after an answer: with the next request, or to the end of the connection.
@@ -170,6 +172,8 @@
     const clock &m_time;
     raw_server_settings m_settings;
     connection_memory m_memory;
+    /// When requests may be released again.
+    time_point m_nextRequestRelease{};
     callbacks m_handlers;
     bool m_closing = false;
     std::uint64_t m_lastConnection = 0;
--- a/tests/http/raw_server_memory_test.cpp
+++ b/tests/http/raw_server_memory_test.cpp
@@ -1,5 +1,6 @@
 #include "http/loop_fixture.h"
 #include "http/raw_server.h"
+#include "memory_budget/memory_hold.h"
 #include "support/manual_clock.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -25,6 +26,7 @@
     CPPUNIT_TEST_SUITE(raw_server_memory_test);
     CPPUNIT_TEST(stalledSendersMakeRoom);
     CPPUNIT_TEST(requestIsRefusedWhileOthersAreInProgress);
+    CPPUNIT_TEST(requestInProgressIsAnsweredWithoutRoomForTheNext);
     CPPUNIT_TEST(slowBodiesEnd);
     CPPUNIT_TEST(answersThatAreNotTakenAreBounded);
     CPPUNIT_TEST(answersThatAreNotTakenEnd);
@@ -99,6 +101,25 @@
         m_loop.runUntil([this] { return m_ids.size() == 4; });
     }
 
+    /// Guards against a request that is lost because its caller has sent the next ones early.
+    void requestInProgressIsAnsweredWithoutRoomForTheNext()
+    {
+        memory_hold others(m_memory.get(), memory_use::Callers);
+        const auto ahead = connect();
+        ahead->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        m_loop.runUntil([this] { return m_ids.size() == 1; });
+        others.setHeld(190'000);
+        ahead->write(post(50'000) + std::string(50'000, 'x'));
+        run();
+        others.setHeld(0);
+        CPPUNIT_ASSERT(m_memory->held() < 5'000);
+        CPPUNIT_ASSERT(m_gone.empty());
+        m_server->respond(m_ids[0], {200, {}, "first"});
+        waitFor(*ahead, "first");
+        CPPUNIT_ASSERT(ahead->received.find("Connection: close") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_ids.size());
+    }
+
     /// Guards against bodies that take any time, a byte at a time.
     void slowBodiesEnd()
     {
