Test which answers may reach their callers in pieces

In virtual time: those of one server may; parts of fan-outs and answers to forwarded requests may not, and an answer that came in pieces keeps its rest up to the caller.

--- a/tests/relay/relay_simulation.cpp
+++ b/tests/relay/relay_simulation.cpp
@@ -741,6 +741,8 @@
                      if (server.signs)
                          content.signature = server.entry.id.value + " " + action.request->callerId;
                      content.body = std::string(16, 'r');
+                     if (answerRest.has_value() && action.mayStream)
+                         content.rest = answer_rest{action.attempt, answerRest->length};
                      const bool lost = isDrawn(server.lostReplyRate);
                      if (lost || server.fault == fault_kind::LosesAllReplies) {
                          fail(host, action.attempt, oneWayDelay, leaf_failure::ConnectionLost);
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -192,6 +192,8 @@
     /// Calls to other hosts that forward requests, if `recordsCalls` is set.
     std::vector<forward_request> forwardCalls;
     bool recordsCalls = false;
+    /// Set if the answers of servers come in pieces where they may; the attempt is filled in.
+    std::optional<answer_rest> answerRest;
     /// Answers to the requests of `sendForwarded`, in the order in which they were answered.
     std::vector<relay_answer> forwardedAnswers;
     /// Counters of all hosts together, by name.
