--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -69,7 +69,7 @@
 
 client_pool::client_pool(event_base *base, const clock &time, client_pool_settings settings,
                          callback onDone, connect_observer onConnect)
-    : m_base(base), m_time(time), m_settings(settings), m_onDone(std::move(onDone)),
+    : m_base(base), m_time(time), m_settings(std::move(settings)), m_onDone(std::move(onDone)),
       m_onConnect(std::move(onConnect))
 {
     m_sweepTimer.reset(event_new(base, -1, EV_PERSIST, &onSweep, this));
--- a/tests/http/large_response_test.cpp
+++ b/tests/http/large_response_test.cpp
@@ -213,7 +213,7 @@
         raw_connection peer(m_server->localEndpoint(), true);
         const request_id request = ask(peer, "1.1");
         m_server->beginResponse(request, {200, {}, {}}, std::nullopt);
-        const std::string piece(64 * 1024, 'x');
+        const std::string piece(std::size_t{64} * 1024, 'x');
         int pieces = 0;
         while (m_server->continueResponse(request, piece))
             CPPUNIT_ASSERT(++pieces < 20);
--- a/tests/http/raw_server_memory_test.cpp
+++ b/tests/http/raw_server_memory_test.cpp
@@ -171,7 +171,8 @@
             partial->write(post(50'000) + std::string(10'000, 'x'));
             const auto ahead = connect();
             const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-            ahead->write(request + request + request);
+            for (int j = 0; j < 3; ++j)
+                ahead->write(request);
             run();
             CPPUNIT_ASSERT(m_memory->held() > 50'000);
             reader->close();
