Read the settings again when their file changes

Cause: the settings file was read again on SIGHUP only, but the operators' page says that it may change without any signal. Class: a change that is told in one way of two. The entry host reads its settings at its start only, as its page says. Change: the file's inode, size and time are looked at once a second; a change is read like on SIGHUP.

--- a/src/relay_host/relay_process.cpp
+++ b/src/relay_host/relay_process.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t maxProbeBody = 1024;
 /// Time between the decision to send a request to a server and its write from which it is logged.
 constexpr std::chrono::milliseconds minLoggedWriteDelay{100};
+/// Interval at which the settings file is looked at. A host whose seeds lead nowhere waits for
+/// others as long.
+constexpr timeval settingsCheckInterval{1, 0};
 /// Interval at which buffered log lines are written.
 constexpr timeval flushInterval{0, 500'000};
 
@@ -81,15 +84,18 @@
 
 relay_process::relay_process(const relay_host_settings &settings, std::string settingsFile,
                              memory_budget memory, const wire_codec &codec, const clock &time)
-    : m_settings(settings), m_settingsFile(std::move(settingsFile)), m_codec(codec), m_time(time),
+    : m_settings(settings), m_settingsFile(std::move(settingsFile)),
+      m_settingsWatch(m_settingsFile), m_codec(codec), m_time(time),
       m_incarnation(static_cast<std::uint64_t>(time.wallNow().time_since_epoch().count())),
       m_log(time, {.minimum = settings.logLevel, .host = settings.reducerSettings.host.value},
             descriptorSink(STDOUT_FILENO)),
       m_rejections(m_time, m_log, m_metrics), m_memory(std::move(memory)),
       m_base(createEventBase()), m_flushTimer(event_new(m_base, -1, EV_PERSIST, &onFlush, this)),
+      m_settingsTimer(event_new(m_base, -1, EV_PERSIST, &onSettingsCheck, this)),
       m_hangup(evsignal_new(m_base, SIGHUP, &onHangup, this))
 {
     event_add(m_flushTimer.get(), &flushInterval);
+    event_add(m_settingsTimer.get(), &settingsCheckInterval);
     event_add(m_hangup.get(), nullptr);
     m_loop = std::make_unique<relay_loop>(
         m_base, m_time, relay_state::create(m_settings.reducerSettings),
@@ -128,6 +134,7 @@
     m_loop.reset();
     m_exitTimer.reset();
     m_hangup.reset();
+    m_settingsTimer.reset();
     m_flushTimer.reset();
     event_base_free(m_base);
 }
@@ -372,9 +379,19 @@
     static_cast<relay_process *>(self)->m_log.flush();
 }
 
+void relay_process::onSettingsCheck(int /*socket*/, short /*events*/, void *self)
+{
+    auto *owner = static_cast<relay_process *>(self);
+    if (owner->m_settingsWatch.hasChanged())
+        owner->reload();
+}
+
 void relay_process::onHangup(int /*signal*/, short /*events*/, void *self)
 {
-    static_cast<relay_process *>(self)->reload();
+    auto *owner = static_cast<relay_process *>(self);
+    // The change that the signal tells of is not read a second time.
+    owner->m_settingsWatch.hasChanged();
+    owner->reload();
 }
 
 } // namespace waxwing::relay
--- a/src/relay_host/relay_process.h
+++ b/src/relay_host/relay_process.h
@@ -13,6 +13,7 @@
 #include "relay_host/relay_loop.h"
 #include "relay_host/request_forwarder.h"
 #include "relay_host/store_client.h"
+#include "settings/settings_file_watch.h"
 #include "telemetry/bounded_logger.h"
 #include "telemetry/metrics_registry.h"
 
@@ -58,10 +59,13 @@
     void scheduleExit(time_point by);
     static void onExitCheck(int socket, short events, void *self);
     static void onFlush(int socket, short events, void *self);
+    /// Reads the settings again if their file has changed, since no signal needs to say so.
+    static void onSettingsCheck(int socket, short events, void *self);
     static void onHangup(int signal, short events, void *self);
 
     relay_host_settings m_settings;
     std::string m_settingsFile;
+    settings_file_watch m_settingsWatch;
     const wire_codec &m_codec;
     loop_clock m_time;
     /// Wall-clock time of the start in milliseconds, so that each restart has a higher incarnation.
@@ -74,6 +78,7 @@
     pass_profile m_profile;
     event_base *m_base;
     http::event_ptr m_flushTimer;
+    http::event_ptr m_settingsTimer;
     http::event_ptr m_hangup;
     http::event_ptr m_exitTimer;
     time_point m_exitBy{};
--- a/tests/processes/host_case.py
+++ b/tests/processes/host_case.py
@@ -111,9 +111,9 @@
         await asyncio.get_running_loop().sock_connect(result, (self.host.address, port))
         return result
 
-    async def metric(self, name):
+    async def metric(self, name, host=None):
         """Value of a metric of the host, 0 if it has none."""
-        reader, writer = await asyncio.open_connection(self.host.address, METRICS_PORT)
+        reader, writer = await asyncio.open_connection((host or self.host).address, METRICS_PORT)
         writer.write(b"GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
         text = (await reader.read()).decode()
         writer.close()
