Let a starting host take the smallest share of the rates of cold servers

Cause, by the arrivals in 250 ms steps in virtual time: a burst in the first steps. A host takes the number of hosts for 1 until it knows others, and the rates of a newly adopted document were applied up to 200 ms later with the next change of the members; until then cold servers had no limit at all. Change: until the number of known hosts has not changed for 1 s (3 s at most) a host assumes 1,000 for these rates; a newly adopted document is applied at once. Class: what is divided by a number of hosts that is not known yet. Quotas, extra requests and connections are divided by it too and are not changed here.

--- a/src/relay/leaf_pool.cpp
+++ b/src/relay/leaf_pool.cpp
@@ -171,8 +171,15 @@
 void leaf_pool::configureCold(leaf &server, time_point now) const
 {
     const auto rate = m_coldRates.find(server.entry().service);
-    server.cold().configure(rate == m_coldRates.end() ? cold_rate{} : rate->second, hostsOf(server),
-                            m_turnPhase, now);
+    server.cold().configure(rate == m_coldRates.end() ? cold_rate{} : rate->second,
+                            std::max(hostsOf(server), m_leastColdHosts), m_turnPhase, now);
+}
+
+void leaf_pool::setLeastColdHosts(std::size_t hosts, time_point now)
+{
+    m_leastColdHosts = hosts;
+    for (const auto &[id, server] : m_servers)
+        configureCold(*server, now);
 }
 
 void leaf_pool::setColdRates(std::map<service_id, cold_rate> rates, double phase, time_point now)
--- a/src/relay/leaf_pool.h
+++ b/src/relay/leaf_pool.h
@@ -105,6 +105,9 @@
     /// among all hosts there.
     void setShares(std::map<service_id, coordinator_share> shares, time_point now);
 
+    /// Sets the least number of hosts that the rates of cold servers are divided among, for a host
+    /// that does not know how many there are.
+    void setLeastColdHosts(std::size_t hosts, time_point now);
     /// Sets the rates of cold servers of each service. `phase` is that of `rate_limit_share`.
     void setColdRates(std::map<service_id, cold_rate> rates, double phase, time_point now);
     /// Records that a zone is used again. Its servers may be cold, since they had no requests.
@@ -168,6 +171,7 @@
     server_choice m_choice;
     zone_latencies m_zoneLatencies;
     std::size_t m_hosts = 1;
+    std::size_t m_leastColdHosts = 1;
     std::map<service_id, std::uint32_t> m_connectionLimits;
     std::map<service_id, coordinator_share> m_shares;
     std::map<service_id, cold_rate> m_coldRates;
--- a/src/relay/member_dispatch.cpp
+++ b/src/relay/member_dispatch.cpp
@@ -10,9 +10,22 @@
 
 namespace waxwing::relay {
 
+void relay_dispatch::learnFleetSize()
+{
+    if (!m_parts.startingHosts.has_value())
+        return;
+    m_parts.startingHosts->update(std::max<std::size_t>(m_parts.members.members().size(), 1),
+                                  m_now);
+    if (!m_parts.startingHosts->takeSettled(m_now).has_value())
+        return;
+    m_parts.startingHosts.reset();
+    m_parts.requests.leaves.setLeastColdHosts(1, m_now);
+}
+
 void relay_dispatch::applyMembers()
 {
     relay_requests &requests = m_parts.requests;
+    learnFleetSize();
     if (const auto settled = m_parts.hostsToLog.takeSettled(m_now)) {
         appendLog(m_effects, log_level::Info, "hosts share connections and budgets",
                   {{"hosts", fmt::to_string(*settled)},
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -102,6 +102,9 @@
     m_parts.random.seed(start.randomSeed);
     constexpr std::uint32_t phases = 1000;
     m_parts.turnPhase = static_cast<double>(m_parts.random(phases)) / phases;
+    m_parts.startingHosts.emplace(m_parts.settings.fleetSize, 0);
+    m_parts.startingHosts->update(1, m_now);
+    m_parts.requests.leaves.setLeastColdHosts(m_parts.settings.assumedHosts, m_now);
     m_parts.members.start(m_context, start.self, start.seeds);
     m_parts.quotas.start(start.self.host, m_now, m_wall);
     for (store_watcher *each : m_parts.watchers()) {
--- a/src/relay/relay_dispatch.h
+++ b/src/relay/relay_dispatch.h
@@ -73,6 +73,8 @@
     bool hasMembersToApply = false;
     /// Number of hosts, for the log.
     settled_number hostsToLog{{}, 1};
+    /// Number of hosts since the start, until it has settled for the first time; empty after that.
+    std::optional<settled_number> startingHosts;
 };
 
 /// Handles one event by passing it to the components that it affects. Lives as long as the event.
@@ -147,6 +149,8 @@
     void sendPartsInTurn();
     void cancelAbandoned();
     void applyMembers();
+    /// Ends the time in which this host does not know how many hosts there are.
+    void learnFleetSize();
     /// Chooses the hosts that carry out fan-outs, and divides the servers among them.
     void applyCoordinators();
     /// From when on a request can no longer be answered within the latency target of its route, if
--- a/src/relay/relay_reducer.cpp
+++ b/src/relay/relay_reducer.cpp
@@ -46,6 +46,8 @@
     if (m_parts->hasMembersToApply)
         consider(m_parts->nextMembersApplyAt);
     consider(m_parts->hostsToLog.nextDeadline());
+    if (m_parts->startingHosts.has_value())
+        consider(m_parts->startingHosts->nextDeadline());
     return earliest;
 }
 
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -11,6 +11,7 @@
 #include "relay/observation_exchange.h"
 #include "relay/policy_settings.h"
 #include "relay/server_contact.h"
+#include "relay/settled_number.h"
 #include "relay/store_roles.h"
 #include "relay/store_watcher.h"
 
@@ -138,6 +139,13 @@
     /// Minimum time between two changes of roles, budgets and connection limits to the known hosts.
     /// While a fleet starts, the known hosts change with every datagram.
     std::chrono::milliseconds membersApplyInterval{200};
+    /// When a host that has started knows how many hosts there are: the number has not changed for
+    /// a while, or changes for too long.
+    settled_number_settings fleetSize{std::chrono::milliseconds(1000),
+                                      std::chrono::milliseconds(3000)};
+    /// Number of hosts that a host assumes before that, where too small a number does harm. The
+    /// size of the largest fleets.
+    std::size_t assumedHosts = 1000;
     /// Time after a stop request during which new requests are still accepted. The platform probes
     /// readiness once a second and stops sending requests after the second failed probe.
     std::chrono::milliseconds stopNotice{2400};
--- a/src/relay/store_update_handler.cpp
+++ b/src/relay/store_update_handler.cpp
@@ -178,6 +178,8 @@
             pace->second->configure(each);
     }
     m_parts.appliedMembersVersion.reset();
+    // The limits of a new document are in force with it.
+    m_parts.nextMembersApplyAt = m_now;
     m_parts.members.setConfiguration(document->version(), document->version());
     m_effects.emplace_back(set_caller_limits{document->limits()});
     appendLog(m_effects, log_level::Info, "adopted routes",
--- a/tests/relay/cold_server_test.cpp
+++ b/tests/relay/cold_server_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(manyHostsTogetherKeepTheRate);
     CPPUNIT_TEST(allHomesColdAtOnceRefuseAtOnce);
     CPPUNIT_TEST(restartedServerGetsItsRate);
+    CPPUNIT_TEST(startingFleetKeepsTheRate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +117,37 @@
         CPPUNIT_ASSERT(servedWithin(simulation, 150) >= 0.99);
     }
 
+    /// Guards against hosts that start together and take themselves for the only ones, so that each
+    /// sends the rate of all to a cold server.
+    void startingFleetKeepsTheRate()
+    {
+        for (const std::size_t hosts : {6, 12}) {
+            relay_simulation simulation(layoutOf(hosts));
+            const time_point start = simulation.now();
+            for (std::size_t zone = 0; zone < 3; ++zone) {
+                simulated_leaf &server = simulation.leafOf("single", zone);
+                server.coldUntil = start + 20s;
+                server.entry.startedAt = 2;
+                server.entry.coldFor = 20s;
+                simulation.registerServer(server.entry);
+            }
+            // The registrations have arrived by then.
+            simulation.load("/one/", 300ms, 10s, 4ms);
+            simulation.runUntil(12s);
+            const auto served =
+                std::count_if(simulation.requests.begin(), simulation.requests.end(),
+                              [](const simulated_request &each) { return each.status() == 200; });
+            std::printf("\nstarting fleet, %zu hosts: %td of %zu served", hosts, served,
+                        simulation.requests.size());
+            for (std::size_t zone = 0; zone < 3; ++zone) {
+                const simulated_leaf &server = simulation.leafOf("single", zone);
+                check("starting fleet", worstSecond(server, start, start + 10s));
+                // Most of the rate is used once the hosts know each other.
+                CPPUNIT_ASSERT(arrivalsBetween(server, start + 4s, start + 9s) >= 25);
+            }
+        }
+    }
+
 private:
     static simulation_layout layoutOf(std::size_t hosts)
     {
