Keep small senders where requests in progress hold the room

Found by reading the change: a release took 1/64 of the budget at least, so where requests in progress held nearly all of it, one small request ended all others that were arriving. A release is now at most an eighth of what senders hold, or what is needed. smallSendersAreKeptWhileOthersAreInProgress fails on the code before (6 of 6 ended) and passes (1).

--- a/src/http/raw_server.cpp
+++ b/src/http/raw_server.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds releasePause{10};
 /// Part of the budget that is released at a time, so that room for the next senders is there.
 constexpr std::size_t releasesPerBudget = 64;
+/// Least number of such parts that senders hold together.
+constexpr std::size_t releasesPerSenders = 8;
 /// Time after the opening of a connection in which its first request may be on the way, at a stop.
 /// Several round trips between regions.
 constexpr std::chrono::milliseconds firstRequestTime{200};
@@ -353,13 +355,18 @@
     if (now < m_nextRequestRelease)
         return;
     std::vector<eviction_candidate> senders;
+    std::size_t held = 0;
     for (const auto &[number, peer] : m_connections) {
-        if (peer->step == connection::step_kind::Reading && peer->parser.hasBegun())
-            senders.push_back(peer->account.asSender(number, now));
+        if (peer->step != connection::step_kind::Reading || !peer->parser.hasBegun())
+            continue;
+        senders.push_back(peer->account.asSender(number, now));
+        held += senders.back().held;
     }
     if (senders.empty())
         m_nextRequestRelease = now + releasePause;
-    const std::size_t batch = m_memory.budget->settings().bytes / releasesPerBudget;
+    // Where requests in progress hold most of the budget, a whole batch would be all who send.
+    const std::size_t batch =
+        std::min(m_memory.budget->settings().bytes / releasesPerBudget, held / releasesPerSenders);
     for (const std::uint64_t number : chooseEvictions(std::move(senders), std::max(bytes, batch))) {
         if (const auto found = m_connections.find(number); found != m_connections.end())
             reject(*found->second, unavailable, rejection_cause::NoRoom);
--- a/tests/http/raw_server_memory_test.cpp
+++ b/tests/http/raw_server_memory_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST_SUITE(raw_server_memory_test);
     CPPUNIT_TEST(stalledSendersMakeRoom);
     CPPUNIT_TEST(requestIsRefusedWhileOthersAreInProgress);
+    CPPUNIT_TEST(smallSendersAreKeptWhileOthersAreInProgress);
     CPPUNIT_TEST(requestInProgressIsAnsweredWithoutRoomForTheNext);
     CPPUNIT_TEST(slowBodiesEnd);
     CPPUNIT_TEST(answersThatAreNotTakenAreBounded);
@@ -101,6 +102,28 @@
         m_loop.runUntil([this] { return m_ids.size() == 4; });
     }
 
+    /// Guards against one small request that ends all the others, where requests in progress hold
+    /// nearly all of the room.
+    void smallSendersAreKeptWhileOthersAreInProgress()
+    {
+        std::vector<std::unique_ptr<raw_connection>> small;
+        for (int i = 0; i < 6; ++i) {
+            small.push_back(connect());
+            small.back()->write(post(100) + std::string(50, 'x'));
+            run();
+        }
+        memory_hold inProgress(m_memory.get(), memory_use::Callers);
+        inProgress.setHeld(m_memory->room(memory_use::Callers));
+        small[0]->write("x");
+        m_loop.runUntil([this] { return !m_rejections.empty(); });
+        run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_rejections.size());
+        inProgress.setHeld(0);
+        for (const auto &each : small)
+            each->write(std::string(50, 'x'));
+        m_loop.runUntil([this] { return m_ids.size() == 5; });
+    }
+
     /// Guards against a request that is lost because its caller has sent the next ones early.
     void requestInProgressIsAnsweredWithoutRoomForTheNext()
     {
