Read a connection again that was paused at the end of a large answer

Found by reading the change: a caller that had to wait for the last piece of an answer left the connection to the server paused, and the next call on it got no response. The connection reads on when its call ends. connectionThatWasPausedAtTheEndServesTheNextCall fails on the code before. Also counts the bytes of an unsent write by its own size.

--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -383,6 +383,9 @@
     target.held.setHeld(0);
     m_calls.erase(id.value);
     const bool wasStreaming = std::exchange(target.isStreaming, false);
+    // The last piece may have paused it.
+    if (std::exchange(target.isPaused, false) && reusable)
+        target.transport->resumeReading();
     if (!reusable)
         close(target);
     if (!wasStreaming) {
--- a/src/http/stream.cpp
+++ b/src/http/stream.cpp
@@ -141,10 +141,10 @@
     event_add(m_write.get(), nullptr);
 }
 
-void stream::releaseWrite(const void * /*bytes*/, std::size_t size, void *write)
+void stream::releaseWrite(const void * /*bytes*/, std::size_t /*size*/, void *write)
 {
     const std::unique_ptr<unsent_write> sent(static_cast<unsent_write *>(write));
-    sent->owner->m_held -= size;
+    sent->owner->m_held -= sent->bytes.size();
 }
 
 void stream::finishWriting()
--- a/tests/http/large_response_test.cpp
+++ b/tests/http/large_response_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(brokenResponseIsNotWhole);
     CPPUNIT_TEST(stalledResponseEnds);
     CPPUNIT_TEST(pausedResponseIsNotRead);
+    CPPUNIT_TEST(connectionThatWasPausedAtTheEndServesTheNextCall);
     CPPUNIT_TEST(unwantedResponseFails);
     CPPUNIT_TEST(lateCopyOverTheLimitIsNotPassedOn);
     CPPUNIT_TEST(piecesReachThePeerWithTheirFraming);
@@ -54,7 +55,11 @@
                  ++m_begun;
                  return m_isWanted;
              },
-             [this](attempt_id /*id*/, const std::string &bytes) { m_body += bytes; },
+             [this](attempt_id id, const std::string &bytes) {
+                 m_body += bytes;
+                 if (m_pausesAfterPieces)
+                     m_pool->pause(id);
+             },
              [this](attempt_id /*id*/, std::optional<call_failure> failure) { m_end = failure; }});
         auto created = raw_server::create(
             m_loop.base(), m_time, {},
@@ -136,6 +141,14 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{250}, m_body.size());
     }
 
+    /// Guards against a connection that is kept for the next call and not read any more, since the
+    /// peer had to wait after the last piece.
+    void connectionThatWasPausedAtTheEndServesTheNextCall()
+    {
+        m_pausesAfterPieces = true;
+        connectionServesTheNextCall();
+    }
+
     void unwantedResponseFails()
     {
         m_isWanted = false;
@@ -295,6 +308,7 @@
     std::unique_ptr<raw_server> m_server;
     std::optional<client_pool::outcome> m_outcome;
     bool m_isWanted = true;
+    bool m_pausesAfterPieces = false;
     int m_begun = 0;
     std::string m_body;
     std::optional<std::uint64_t> m_length;
