Test a stop with callers that do not read their answers

A host with 400 of them keeps within its memory and ends in time; callers that read are answered or told that there is no server.

--- a/tests/processes/memory_test.py
+++ b/tests/processes/memory_test.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import select
+import signal
 import time
 import unittest
 
@@ -194,13 +195,13 @@
             await asyncio.sleep(0.1)
         self.assertEqual(set(), servers[size].writers)
 
-    async def test_callers_that_do_not_read(self):
-        """Guards against answers that wait without bound for callers that do not take them."""
+    async def leave_unread(self, count):
+        """Sends requests of callers that do not read their answers, and returns their prefix."""
         prefix = self.add_route("large")
         await self.add_server(LargeServer("large", BODY))
         await self.start()
         loop, poller, waiting = asyncio.get_running_loop(), select.poll(), 0
-        for number in range(2000):
+        for number in range(count):
             connection = await self.connect(CALLERS_PORT, is_narrow=True)
             await loop.sock_sendall(connection, standin.format_call(
                 f"unread-{number}", f"{prefix}{number}", b"", 60000))
@@ -214,9 +215,37 @@
                     poller.unregister(descriptor)
                 waiting -= len(begun)
         await asyncio.sleep(0.5)
+        return prefix
+
+    async def test_callers_that_do_not_read(self):
+        """Guards against answers that wait without bound for callers that do not take them."""
+        prefix = await self.leave_unread(2000)
         await self.check_sound_callers("2,000 callers that do not read")
         self.assertEqual(200, await self.call(prefix))
 
+    async def test_stop_with_callers_that_do_not_read(self):
+        """Guards against a stop that holds more and more answers, or does not end, because of callers
+        that do not take them."""
+        prefix = await self.leave_unread(400)
+        calls = [asyncio.create_task(self.call(prefix)) for _ in range(4)]
+        await asyncio.sleep(0.05)
+        peak, began = self.peak_memory(), time.monotonic()
+        self.host.send(signal.SIGTERM)
+        while self.host.process.returncode is None and time.monotonic() - began < 10:
+            try:
+                peak = max(peak, self.peak_memory())
+            except (OSError, TypeError):
+                break  # the process has just ended
+            await asyncio.sleep(0.1)
+        self.assertEqual(0, await asyncio.wait_for(self.host.process.wait(), 5))
+        print(f"\n  stop with 400 callers that do not read: peak {peak:.1f} MiB, "
+              f"{time.monotonic() - began:.1f} s", flush=True)
+        self.assertLess(peak, HOST_MEMORY)
+        # Those that read are answered, or told that the host has no server for them.
+        self.assertLessEqual(set(await asyncio.gather(*calls)), {200, 503})
+        # The notice and the longest wait for requests, and a second for a busy machine.
+        self.assertLess(time.monotonic() - began, 2.4 + 3.2 + 1)
+
 
 if __name__ == "__main__":
     unittest.main()
